--- /dev/null
+++ b/src/ConnectionPool.cpp
@@ -0,0 +1,157 @@
+#include "ConnectionPool.h"
+
+#include "ProxyState.h"
+
+#include <algorithm>
+
+namespace Figward {
+
+namespace {
+
+constexpr std::size_t maxOpening = 4; // Opening takes about 10 ms: a few at a time follow a burst without draining the quota for one member.
+
+bool isLeaving(const GroupOwner &owner, const MemberId &member)
+{
+    const MemberView *view = findMember(owner.view_, member);
+    return view == nullptr || view->config_.leaving_;
+}
+
+std::size_t countTo(const ConnectionPool &pool, const MemberId &member, ConnectionUse use)
+{
+    const auto matches = [&](const auto &entry) { return entry.second.member_ == member && entry.second.use_ == use; };
+    return static_cast<std::size_t>(std::ranges::count_if(pool.connections_, matches));
+}
+
+/** The connection to another member that has been idle longest. */
+std::optional<ConnectionId> longestIdleElsewhere(const ConnectionPool &pool, const MemberId &member)
+{
+    std::optional<ConnectionId> best;
+    Time bestSince = Time::max();
+    for (const auto &[id, connection] : pool.connections_) {
+        const bool idle = connection.use_ == ConnectionUse::Idle && connection.member_ != member;
+        if (idle && connection.since_ < bestSince) {
+            best = id;
+            bestSince = connection.since_;
+        }
+    }
+    return best;
+}
+
+void open(ProxyState &state, GroupOwner &owner, const MemberView &member, Time now, Effects &out)
+{
+    const ConnectionId id(takeId(state));
+    owner.pool_.connections_[id] = { .member_ = member.config_.id_, .use_ = ConnectionUse::Opening, .since_ = now };
+    state.connections_[id] = owner.config_.id_;
+    out.push_back(OpenConnection{ id, member.config_.id_, member.config_.address_ });
+}
+
+bool quotaLeft(const GroupOwner &owner, Time now)
+{
+    return owner.pool_.connections_.size() < usableQuota(owner, now).connections_.value();
+}
+
+/** Begins to open a connection to \p member unless quota, circuit or a recent refusal forbids it. */
+void openIfAllowed(ProxyState &state, GroupOwner &owner, const MemberId &member, Time now, Effects &out)
+{
+    const MemberView *view = findMember(owner.view_, member);
+    const bool forbidden = view == nullptr || now < owner.pool_.refusedUntil_ || !allowsWork(owner.pool_.circuits_[member], now);
+    if (forbidden) {
+        return;
+    }
+    if (!quotaLeft(owner, now)) {
+        const std::optional<ConnectionId> spare = longestIdleElsewhere(owner.pool_, member);
+        if (!spare) {
+            onQuotaShort(state, owner, now, out);
+            return;
+        }
+        closeConnection(state, owner, *spare, out);
+    }
+    open(state, owner, *view, now, out);
+}
+
+} // namespace
+
+std::optional<ConnectionId> takeConnection(ProxyState &state, GroupOwner &owner, const MemberId &member, Time now, Effects &out)
+{
+    for (const auto &[id, connection] : owner.pool_.connections_) {
+        if (connection.member_ == member && connection.use_ == ConnectionUse::Idle) {
+            return id;
+        }
+    }
+    if (countTo(owner.pool_, member, ConnectionUse::Opening) < maxOpening) {
+        openIfAllowed(state, owner, member, now, out);
+    }
+    return std::nullopt;
+}
+
+void markBusy(GroupOwner &owner, ConnectionId connection, Time now)
+{
+    PooledConnection &pooled = owner.pool_.connections_.at(connection);
+    pooled.use_ = ConnectionUse::Busy;
+    pooled.since_ = now;
+    ++owner.pool_.running_;
+}
+
+void markAnswered(GroupOwner &owner, ConnectionId connection, Time now)
+{
+    const auto found = owner.pool_.connections_.find(connection);
+    if (found == owner.pool_.connections_.end() || found->second.use_ != ConnectionUse::Busy) {
+        return;
+    }
+    found->second.use_ = found->second.pinned_ ? ConnectionUse::Pinned : ConnectionUse::Idle;
+    found->second.since_ = now;
+    --owner.pool_.running_;
+}
+
+std::optional<MemberId> forgetConnection(ProxyState &state, GroupOwner &owner, ConnectionId connection)
+{
+    const auto found = owner.pool_.connections_.find(connection);
+    if (found == owner.pool_.connections_.end()) {
+        return std::nullopt;
+    }
+    const PooledConnection gone = found->second;
+    if (gone.use_ == ConnectionUse::Busy) {
+        --owner.pool_.running_;
+    }
+    owner.pool_.connections_.erase(found);
+    state.connections_.erase(connection);
+    return gone.member_;
+}
+
+void closeConnection(ProxyState &state, GroupOwner &owner, ConnectionId connection, Effects &out)
+{
+    if (forgetConnection(state, owner, connection)) {
+        out.push_back(CloseConnection{ connection });
+    }
+}
+
+void tendConnections(ProxyState &state, GroupOwner &owner, Time now, Effects &out)
+{
+    std::vector<ConnectionId> surplus;
+    std::map<MemberId, unsigned> idle;
+    for (const auto &[id, connection] : owner.pool_.connections_) {
+        if (connection.use_ != ConnectionUse::Idle) {
+            continue;
+        }
+        const bool unused = now - connection.since_ > state.configuration_.policy_.idleConnectionLife_;
+        const bool spare = ++idle[connection.member_] > 1 && unused;
+        if (spare || owner.leaving_ || isLeaving(owner, connection.member_)) {
+            surplus.push_back(id);
+        }
+    }
+    for (const ConnectionId id : surplus) {
+        closeConnection(state, owner, id, out);
+    }
+    if (owner.leaving_) {
+        return;
+    }
+    for (const MemberView &member : owner.view_.members_) {
+        const auto leadsThere = [&](const auto &entry) { return entry.second.member_ == member.config_.id_; };
+        const bool connected = std::ranges::any_of(owner.pool_.connections_, leadsThere);
+        if (!connected && !member.config_.leaving_ && quotaLeft(owner, now)) {
+            openIfAllowed(state, owner, member.config_.id_, now, out);
+        }
+    }
+}
+
+} // namespace Figward
--- /dev/null
+++ b/src/EntryChecks.cpp
@@ -0,0 +1,86 @@
+#include "EntryChecks.h"
+
+#include "ProxyState.h"
+
+namespace Figward {
+
+namespace {
+
+constexpr Duration soon = std::chrono::milliseconds(100);
+
+bool needsKey(RequestKind kind, bool inTransaction)
+{
+    return kind == RequestKind::Commit || (kind == RequestKind::Write && !inTransaction);
+}
+
+ErrorKind checkPlace(const ProxyState &state, const Request &request)
+{
+    if (state.configuration_.version_ == ConfigVersion(0)) {
+        return ErrorKind::NotConfigured;
+    }
+    if (!state.configuration_.services_.contains(request.service_)) {
+        return ErrorKind::UnknownService;
+    }
+    const auto group = state.configuration_.groups_.find(request.group_);
+    if (group == state.configuration_.groups_.end() || group->second.service_ != request.service_) {
+        return ErrorKind::UnknownGroup;
+    }
+    return ErrorKind::None;
+}
+
+ErrorKind checkStep(const ProxyState &state, const Request &request)
+{
+    const auto transaction = state.entry_.transactions_.find(request.transaction_);
+    if (transaction == state.entry_.transactions_.end()) {
+        return ErrorKind::NoSuchTransaction;
+    }
+    const bool misplaced = transaction->second.group_ != request.group_ || request.kind_ == RequestKind::Begin;
+    return misplaced || transaction->second.busy_ ? ErrorKind::BadRequest : ErrorKind::None;
+}
+
+} // namespace
+
+ErrorKind checkRequest(const ProxyState &state, const Request &request)
+{
+    const ErrorKind misplaced = checkPlace(state, request);
+    if (misplaced != ErrorKind::None) {
+        return misplaced;
+    }
+    const bool step = request.transaction_ != TransactionId(0); // Also a misplaced Begin, which checkStep() refuses.
+    const bool endsNothing = !step && (request.kind_ == RequestKind::Commit || request.kind_ == RequestKind::Rollback);
+    if (endsNothing) {
+        return ErrorKind::NoSuchTransaction;
+    }
+    if (request.kind_ == RequestKind::CancelKey || request.timeout_ <= Duration::zero()) {
+        return ErrorKind::BadRequest;
+    }
+    if (needsKey(request.kind_, step) && !request.key_) {
+        return ErrorKind::MissingKey;
+    }
+    if (step) {
+        return checkStep(state, request);
+    }
+    return state.drain_.draining_ ? ErrorKind::Draining : ErrorKind::None;
+}
+
+std::optional<Duration> retryAdvice(ErrorKind error)
+{
+    switch (error) {
+    case ErrorKind::NotConfigured:
+    case ErrorKind::NoOwner:
+    case ErrorKind::NoPrimary:
+    case ErrorKind::ReplicasBehind:
+    case ErrorKind::DeadlineExceeded:
+    case ErrorKind::RetryBudgetSpent:
+    case ErrorKind::UpstreamFailed:
+    case ErrorKind::UpstreamRefused:
+        return soon;
+    case ErrorKind::Draining:
+    case ErrorKind::TransactionLost:
+        return Duration::zero();
+    default:
+        return std::nullopt;
+    }
+}
+
+} // namespace Figward
--- /dev/null
+++ b/src/GroupView.cpp
@@ -0,0 +1,115 @@
+#include "GroupView.h"
+
+#include <algorithm>
+
+namespace Figward {
+
+namespace {
+
+/** First entry of the present term, as the primary reported it; empty while its opening entry has not been seen. */
+std::optional<LogPoint> presentTermStart(const GroupView &view)
+{
+    const MemberView *primary = primaryOf(view);
+    if (primary == nullptr || !primary->status_) {
+        return std::nullopt;
+    }
+    const auto &starts = primary->status_->termStarts_;
+    const auto start = std::ranges::find(starts, view.term_, &LogPoint::term_);
+    if (start == starts.end()) {
+        return std::nullopt;
+    }
+    return *start;
+}
+
+std::size_t holders(const GroupView &view, LogPoint point)
+{
+    const auto holds = [&](const MemberView &member) { return member.status_ && contains(*member.status_, point); };
+    return static_cast<std::size_t>(std::ranges::count_if(view.members_, holds));
+}
+
+} // namespace
+
+MemberView *findMember(GroupView &view, const MemberId &id)
+{
+    const auto found = std::ranges::find_if(view.members_, [&](const MemberView &m) { return m.config_.id_ == id; });
+    return found == view.members_.end() ? nullptr : &*found;
+}
+
+const MemberView *findMember(const GroupView &view, const MemberId &id)
+{
+    const auto found = std::ranges::find_if(view.members_, [&](const MemberView &m) { return m.config_.id_ == id; });
+    return found == view.members_.end() ? nullptr : &*found;
+}
+
+const MemberView *primaryOf(const GroupView &view)
+{
+    return view.primary_ ? findMember(view, *view.primary_) : nullptr;
+}
+
+std::size_t majorityOf(const GroupView &view)
+{
+    return view.members_.size() / 2 + 1;
+}
+
+Term highestFence(const GroupView &view)
+{
+    Term highest;
+    for (const MemberView &member : view.members_) {
+        if (member.status_) {
+            highest = std::max(highest, member.status_->fenced_);
+        }
+    }
+    return highest;
+}
+
+bool contains(const MemberStatus &status, LogPoint point)
+{
+    if (point.term_ > status.log_.term_) {
+        return false;
+    }
+    if (point.term_ == status.log_.term_) {
+        return point.position_ <= status.log_.position_;
+    }
+    // A later term began above the point only if it was built on a log that had it. Example: with terms starting at 1/1 and 3/8, the point 1/7
+    // is in the log and 1/8 is not: it was in the tail that the primary of term 3 never had.
+    const auto next = std::ranges::find_if(status.termStarts_, [&](const LogPoint &start) { return start.term_ > point.term_; });
+    return next != status.termStarts_.end() && point.position_ < next->position_;
+}
+
+bool majorityHolds(const GroupView &view, LogPoint point)
+{
+    // A member fenced at a later term may already have helped to replace the primary, so that what its peers hold proves nothing any more.
+    if (highestFence(view) > view.term_ || point.term_ > view.term_) {
+        return false;
+    }
+    LogPoint evidence = point;
+    if (point.term_ < view.term_) {
+        // An entry of an earlier term may be held by a majority and still lose against a longer log of a term between; an entry of the present
+        // term above it settles which log wins.
+        const std::optional<LogPoint> start = presentTermStart(view);
+        const MemberView *primary = primaryOf(view);
+        if (!start || primary == nullptr || !contains(*primary->status_, point)) {
+            return false;
+        }
+        evidence = *start;
+    }
+    return holders(view, evidence) >= majorityOf(view);
+}
+
+void noteStatus(GroupView &view, const MemberId &member, const MemberStatus &status, Time sentAt)
+{
+    MemberView *known = findMember(view, member);
+    if (known == nullptr) {
+        return;
+    }
+    // An earlier call's answer may overtake a later one's. A log that is shorter in a later call's answer was really cut.
+    const bool shorter = known->status_ && (status.fenced_ < known->status_->fenced_ || status.log_ < known->status_->log_);
+    const bool outdated = shorter && sentAt < known->statusAsOf_;
+    if (outdated) {
+        return;
+    }
+    known->status_ = status;
+    known->statusAsOf_ = std::max(known->statusAsOf_, sentAt);
+}
+
+} // namespace Figward
--- /dev/null
+++ b/src/LogEvents.h
@@ -0,0 +1,62 @@
+/** \file
+ * Defines the numbered log events of figward; docs/EVENTS.md is their catalogue.
+ *
+ * Numbers are never reused. Ranges: 1xx process, 2xx configuration, 3xx membership and owners, 4xx upstreams and failover,
+ * 5xx requests and sessions, 6xx platform, 7xx drain and quotas, 8xx input and output.
+ */
+#pragma once
+
+#include "Ids.h"
+
+#include <absl/types/span.h>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Figward {
+
+/** Severity of a log event. */
+enum class LogLevel {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+/** The number under which an event is logged. */
+enum class LogNumber : int {
+    ProcessStarted = 101,
+    ProcessStopped = 102,
+    ConfigurationInForce = 201,
+    ConfigurationRefused = 202,
+    MemberSuspected = 401,
+    FailoverStarted = 402,
+    PrimaryPromoted = 403,
+    FailoverAbandoned = 404,
+    RequestUnknown = 501,
+    ConnectionOverdue = 502,
+    UpstreamConnectFailed = 801,
+};
+
+/** One row of the catalogue. */
+struct LogEventInfo
+{
+    LogNumber number_;
+    LogLevel level_;
+    std::string_view name_; ///< Stable, such as "configuration-in-force".
+    std::string_view meaning_; ///< One sentence for operators.
+};
+
+/** All rows, ordered by number. */
+absl::Span<const LogEventInfo> logEventCatalogue();
+/** The row of \p number. */
+const LogEventInfo &logEventInfo(LogNumber number);
+
+/** One key=value field of a log line. */
+struct LogField
+{
+    std::string key_;
+    std::string value_;
+};
+
+} // namespace Figward
--- /dev/null
+++ b/src/OwnerDispatch.cpp
@@ -0,0 +1,138 @@
+#include "OwnerDispatch.h"
+
+#include "MemberChoice.h"
+#include "OwnerTransactions.h"
+#include "ProxyState.h"
+
+#include <algorithm>
+#include <set>
+
+namespace Figward {
+
+namespace {
+
+constexpr Duration longestReplicaWait = std::chrono::milliseconds(20);
+constexpr int replicaWaitShare = 4; // A read waits for a replica for a quarter of its time at most.
+
+/** Where a request can go now. */
+struct Target
+{
+    MemberId member_;
+    std::optional<ConnectionId> pinned_; ///< The connection of its transaction.
+    bool replica_ = false;
+};
+
+std::optional<Target> stepTarget(const GroupOwner &owner, const OwnedRequest &owned)
+{
+    const auto transaction = owner.requests_.transactions_.find(transactionKeyOf(owned));
+    if (transaction == owner.requests_.transactions_.end() || transaction->second.busy_) {
+        return std::nullopt;
+    }
+    return Target{ transaction->second.member_, transaction->second.connection_, false };
+}
+
+std::optional<Target> readTarget(ProxyState &state, GroupOwner &owner, Ticket ticket, OwnedRequest &owned, Time now, Effects &out)
+{
+    const Duration patience = std::min(longestReplicaWait, owned.request_.timeout_ / replicaWaitShare);
+    const Time patientUntil = owned.acceptedAt_ + patience;
+    const ReadNeeds needs = needsOf(owned.request_, owner.config_.id_);
+    const MemberChoice choice = chooseForRead(owner, needs, state.identity_.self_.zone_, now, now < patientUntil);
+    switch (choice.step_) {
+    case ReadStep::UseReplica:
+        return Target{ choice.member_, std::nullopt, true };
+    case ReadStep::UsePrimary:
+        return Target{ choice.member_, std::nullopt, false };
+    case ReadStep::Wait:
+        if (!owned.waitedForReplica_) {
+            owned.waitedForReplica_ = true;
+            state.timers_.arm(patientUntil, { TimerTopic::OwnerPool, owner.config_.id_, ticket.value() });
+        }
+        pollPositions(state, owner, now, out);
+        return std::nullopt;
+    case ReadStep::Unserved:
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+std::optional<Target> targetOf(ProxyState &state, GroupOwner &owner, Ticket ticket, OwnedRequest &owned, Time now, Effects &out)
+{
+    if (isTransactionStep(owned.request_)) {
+        return stepTarget(owner, owned);
+    }
+    if (owned.request_.kind_ == RequestKind::Read) {
+        return readTarget(state, owner, ticket, owned, now, out);
+    }
+    const std::optional<MemberId> primary = usablePrimary(owner, now);
+    return primary ? std::optional(Target{ *primary, std::nullopt, false }) : std::nullopt;
+}
+
+UpstreamStatement statementFor(const GroupOwner &owner, const OwnedRequest &owned, StatementId id)
+{
+    UpstreamStatement statement;
+    statement.id_ = id;
+    statement.kind_ = owned.request_.kind_;
+    // Also a read at the primary names the term: a member that has been replaced must not answer in the primary's place.
+    statement.requiredTerm_ = owned.toReplica_ ? Term(0) : owner.view_.term_;
+    statement.key_ = owned.request_.key_;
+    statement.acknowledgedBelow_ = owned.request_.acknowledgedBelow_;
+    statement.body_ = owned.request_.body_;
+    return statement;
+}
+
+void send(ProxyState &state, GroupOwner &owner, Ticket ticket, OwnedRequest &owned, const Target &target, ConnectionId connection, Time now, Effects &out)
+{
+    const StatementId id(takeId(state));
+    owned.stage_ = RequestStage::Sent;
+    owned.statement_ = id;
+    owned.member_ = target.member_;
+    owned.toReplica_ = target.replica_;
+    owner.requests_.sent_[id] = { connection, ticket, now };
+    markBusy(owner, connection, now);
+    if (isTransactionStep(owned.request_)) {
+        OwnedTransaction &transaction = owner.requests_.transactions_.at(transactionKeyOf(owned));
+        transaction.busy_ = true;
+        transaction.usedAt_ = now;
+    }
+    out.push_back(SendStatement{ connection, statementFor(owner, owned, id) });
+}
+
+bool slotsLeft(const GroupOwner &owner, Time now)
+{
+    return now >= owner.pool_.busyUntil_ && owner.pool_.running_ < usableQuota(owner, now).slots_.value();
+}
+
+} // namespace
+
+void dispatch(ProxyState &state, GroupOwner &owner, Time now, Effects &out)
+{
+    std::set<MemberId> withoutConnection;
+    auto place = owner.queue_.places_.begin();
+    while (place != owner.queue_.places_.end() && slotsLeft(owner, now)) {
+        const Ticket ticket = place->ticket_;
+        OwnedRequest &owned = owner.requests_.byTicket_.at(ticket);
+        const std::optional<Target> target = targetOf(state, owner, ticket, owned, now, out);
+        if (!target || withoutConnection.contains(target->member_)) {
+            ++place;
+            continue;
+        }
+        const std::optional<ConnectionId> connection = target->pinned_ ? target->pinned_ : takeConnection(state, owner, target->member_, now, out);
+        if (!connection) {
+            withoutConnection.insert(target->member_);
+            ++place;
+            continue;
+        }
+        place = owner.queue_.places_.erase(place);
+        send(state, owner, ticket, owned, *target, *connection, now, out);
+    }
+    if (!owner.queue_.places_.empty() && !slotsLeft(owner, now)) {
+        onQuotaShort(state, owner, now, out);
+    }
+}
+
+void wantDispatch(ProxyState &state, const GroupOwner &owner)
+{
+    state.dirty_.insert(owner.config_.id_);
+}
+
+} // namespace Figward
--- /dev/null
+++ b/src/OwnerRequests.cpp
@@ -0,0 +1,288 @@
+#include "OwnerRequests.h"
+
+#include "OwnerDispatch.h"
+#include "OwnerTransactions.h"
+#include "ProxyState.h"
+
+#include <algorithm>
+
+namespace Figward {
+
+namespace {
+
+constexpr Duration tendInterval = std::chrono::milliseconds(100);
+constexpr unsigned urgent = 0; // Steps hold a connection, and cancelled keys a caller that is about to give up.
+
+/** Refuses \p forward without having looked for work to do. */
+void refuse(ProxyState &state, const RequestOrigin &origin, ErrorKind error, std::optional<Duration> retryAfter, Effects &out)
+{
+    sendPeer(state, origin.entry_, ForwardAnswer{ origin.id_, notRun(error, retryAfter) }, out);
+}
+
+unsigned priorityOf(const ProxyState &state, const Request &request)
+{
+    const bool step = isTransactionStep(request);
+    if (step || request.kind_ == RequestKind::CancelKey) {
+        return urgent;
+    }
+    const auto service = state.configuration_.services_.find(request.service_);
+    if (service == state.configuration_.services_.end()) {
+        return urgent;
+    }
+    const auto &classes = service->second.classes_;
+    const auto named = std::ranges::find(classes, request.class_, &WorkClass::id_);
+    if (named != classes.end()) {
+        return named->priority_;
+    }
+    return classes.empty() ? urgent : classes.back().priority_;
+}
+
+/** Why this owner cannot take \p request at all, or None. */
+ErrorKind checkAcceptable(const ProxyState &state, const GroupOwner *owner, const OwnedRequest &owned)
+{
+    if (owner == nullptr) {
+        return ErrorKind::NotOwner;
+    }
+    const bool step = isTransactionStep(owned.request_);
+    if (step) {
+        const auto transaction = owner->requests_.transactions_.find(transactionKeyOf(owned));
+        return transaction == owner->requests_.transactions_.end() ? ErrorKind::TransactionLost : ErrorKind::None;
+    }
+    if (state.drain_.draining_) {
+        return ErrorKind::Draining;
+    }
+    return owner->leaving_ ? ErrorKind::NotOwner : ErrorKind::None;
+}
+
+bool isRefusedEarly(const GroupOwner &owner, const Request &request, Time now)
+{
+    const bool changes = request.kind_ == RequestKind::Write || request.kind_ == RequestKind::Begin;
+    const bool step = isTransactionStep(request);
+    return changes && !step && expectedWait(owner.requests_.majority_, now) > request.timeout_;
+}
+
+void evict(ProxyState &state, GroupOwner &owner, const QueuePlace &place, Duration retryAfter, Effects &out)
+{
+    const OwnedRequest &evicted = owner.requests_.byTicket_.at(place.ticket_);
+    Answer answer = evicted.mayHaveRun_ ? unknown(ErrorKind::QueueFull) : notRun(ErrorKind::QueueFull, retryAfter);
+    finishRequest(state, owner, place.ticket_, std::move(answer), out);
+}
+
+ErrorKind overdueError(const GroupOwner &owner, const OwnedRequest &owned)
+{
+    if (owned.stage_ == RequestStage::AwaitingMajority) {
+        return ErrorKind::ReplicasBehind;
+    }
+    const bool lacksPrimary = owned.stage_ == RequestStage::Queued && !owner.view_.primary_;
+    return lacksPrimary ? ErrorKind::NoPrimary : ErrorKind::DeadlineExceeded;
+}
+
+/** What was under way at the former primary: by its key it can run again without running twice. */
+void restart(ProxyState &state, GroupOwner &owner, Ticket ticket, Effects &out)
+{
+    OwnedRequest &owned = owner.requests_.byTicket_.at(ticket);
+    if (owned.request_.kind_ == RequestKind::Commit) {
+        // The transaction is gone with its connection: what is left to find out is whether the commit took effect.
+        owned.request_.kind_ = RequestKind::CancelKey;
+        owned.request_.transaction_ = TransactionId(0);
+    }
+    const bool step = isTransactionStep(owned.request_);
+    if (step) {
+        finishRequest(state, owner, ticket, notRun(ErrorKind::TransactionLost), out);
+        return;
+    }
+    requeue(owner, ticket, owned.request_.kind_ != RequestKind::Begin);
+}
+
+std::vector<Ticket> unfinishedAtFormerPrimary(const GroupOwner &owner)
+{
+    std::vector<Ticket> tickets;
+    for (const auto &[ticket, owned] : owner.requests_.byTicket_) {
+        const bool sentThere = owned.stage_ == RequestStage::Sent && !owned.toReplica_;
+        if (sentThere || owned.stage_ == RequestStage::AwaitingMajority) {
+            tickets.push_back(ticket);
+        }
+    }
+    return tickets;
+}
+
+/** Closes the connections whose answers are overdue, and returns the tickets that were waiting for them. */
+std::vector<Ticket> closeOverdue(ProxyState &state, GroupOwner &owner, Time now, Effects &out)
+{
+    std::vector<StatementId> overdue;
+    for (const auto &[id, sent] : owner.requests_.sent_) {
+        if (now - sent.sentAt_ > state.configuration_.policy_.statementTimeout_) {
+            overdue.push_back(id);
+        }
+    }
+    std::vector<Ticket> waiting;
+    for (const StatementId id : overdue) {
+        const SentStatement sent = owner.requests_.sent_.at(id);
+        owner.requests_.sent_.erase(id);
+        out.push_back(
+            WriteLog{ LogNumber::ConnectionOverdue, { { "group", owner.config_.id_.value() }, { "connection", std::to_string(sent.connection_.value()) } } });
+        closeConnection(state, owner, sent.connection_, out);
+        const auto owned = owner.requests_.byTicket_.find(sent.ticket_);
+        if (owned != owner.requests_.byTicket_.end() && owned->second.statement_ == id) {
+            waiting.push_back(sent.ticket_);
+        }
+    }
+    return waiting;
+}
+
+bool isIdle(const GroupOwner &owner)
+{
+    return owner.requests_.byTicket_.empty() && owner.requests_.transactions_.empty() && owner.requests_.sent_.empty();
+}
+
+} // namespace
+
+void acceptRequest(ProxyState &state, const PeerMessage &message, const ForwardRequest &forward, Time now, Effects &out)
+{
+    OwnedRequest owned;
+    owned.origin_ = { { message.from_, {}, message.fromAddress_, false }, forward.id_ };
+    owned.request_ = forward.request_;
+    owned.acceptedAt_ = now;
+    owned.deadline_ = now + forward.request_.timeout_;
+    GroupOwner *owner = findOwner(state, forward.request_.group_);
+    const ErrorKind refusal = checkAcceptable(state, owner, owned);
+    if (refusal != ErrorKind::None) {
+        refuse(state, owned.origin_, refusal, std::nullopt, out);
+        return;
+    }
+    if (isRefusedEarly(*owner, owned.request_, now)) {
+        refuse(state, owned.origin_, ErrorKind::ReplicasBehind, expectedWait(owner->requests_.majority_, now), out);
+        return;
+    }
+    const Ticket ticket(takeId(state));
+    owned.place_ = { priorityOf(state, owned.request_), owned.deadline_, ticket };
+    const AdmissionVerdict verdict = admit(owner->queue_, owned.place_, state.configuration_.policy_.queueLimit_, usableQuota(*owner, now).slots_, now);
+    if (verdict.refusal_ != ErrorKind::None) {
+        refuse(state, owned.origin_, verdict.refusal_, verdict.retryAfter_, out);
+        return;
+    }
+    if (verdict.evicted_) {
+        evict(state, *owner, *verdict.evicted_, verdict.retryAfter_, out);
+    }
+    state.timers_.arm(owned.deadline_, { TimerTopic::OwnerDeadline, owner->config_.id_, ticket.value() });
+    owner->requests_.byTicket_.emplace(ticket, std::move(owned));
+    wantDispatch(state, *owner);
+}
+
+void finishRequest(ProxyState &state, GroupOwner &owner, Ticket ticket, Answer answer, Effects &out)
+{
+    const auto found = owner.requests_.byTicket_.find(ticket);
+    if (found == owner.requests_.byTicket_.end()) {
+        return;
+    }
+    const OwnedRequest &owned = found->second;
+    owner.queue_.places_.erase(owned.place_);
+    if (owned.stage_ == RequestStage::AwaitingMajority) {
+        endWait(owner.requests_.majority_, owned.point_, ticket);
+    }
+    const auto transaction = owner.requests_.transactions_.find(transactionKeyOf(owned));
+    if (transaction != owner.requests_.transactions_.end()) {
+        transaction->second.busy_ = false;
+    }
+    sendPeer(state, owned.origin_.entry_, ForwardAnswer{ owned.origin_.id_, std::move(answer) }, out);
+    owner.requests_.byTicket_.erase(found);
+}
+
+void giveUp(ProxyState &state, GroupOwner &owner, Ticket ticket, ErrorKind error, Effects &out)
+{
+    const OwnedRequest &owned = owner.requests_.byTicket_.at(ticket);
+    const TransactionKey key = transactionKeyOf(owned);
+    const bool neverSent = owned.stage_ == RequestStage::Queued && !owned.mayHaveRun_;
+    finishRequest(state, owner, ticket, neverSent ? notRun(error) : unknown(error), out);
+    // A step without an answer leaves the transaction in doubt, and its caller cannot go on with it.
+    loseTransaction(state, owner, key, out);
+}
+
+void requeue(GroupOwner &owner, Ticket ticket, bool mayHaveRun)
+{
+    OwnedRequest &owned = owner.requests_.byTicket_.at(ticket);
+    if (owned.stage_ == RequestStage::AwaitingMajority) {
+        endWait(owner.requests_.majority_, owned.point_, ticket);
+    }
+    owned.stage_ = RequestStage::Queued;
+    owned.mayHaveRun_ = owned.mayHaveRun_ || mayHaveRun;
+    owned.statement_ = StatementId(0);
+    owner.queue_.places_.insert(owned.place_);
+}
+
+void onGroupViewChanged(ProxyState &state, GroupOwner &owner, Time now, Effects &out)
+{
+    for (const Ticket ticket : takeHeld(owner, now)) {
+        OwnedRequest &owned = owner.requests_.byTicket_.at(ticket);
+        owned.stage_ = RequestStage::Sent; // The wait has ended; nothing is left to end.
+        Answer answer = std::move(owned.answer_);
+        finishRequest(state, owner, ticket, std::move(answer), out);
+    }
+    wantDispatch(state, owner);
+}
+
+void onPrimaryChanged(ProxyState &state, GroupOwner &owner, Time /*now*/, Effects &out)
+{
+    std::vector<TransactionKey> lost;
+    for (const auto &[key, transaction] : owner.requests_.transactions_) {
+        if (transaction.term_ != owner.view_.term_ || owner.view_.primary_ != transaction.member_) {
+            lost.push_back(key);
+        }
+    }
+    for (const Ticket ticket : unfinishedAtFormerPrimary(owner)) {
+        const auto sent = owner.requests_.sent_.find(owner.requests_.byTicket_.at(ticket).statement_);
+        if (sent != owner.requests_.sent_.end()) {
+            closeConnection(state, owner, sent->second.connection_, out);
+            owner.requests_.sent_.erase(sent);
+        }
+        restart(state, owner, ticket, out);
+    }
+    for (const TransactionKey &key : lost) {
+        loseTransaction(state, owner, key, out);
+    }
+    wantDispatch(state, owner);
+}
+
+void onOwnerDeadline(ProxyState &state, const TimerTag &tag, Time /*now*/, Effects &out)
+{
+    GroupOwner *owner = findOwner(state, tag.group_);
+    const Ticket ticket(tag.key_);
+    if (owner == nullptr || !owner->requests_.byTicket_.contains(ticket)) {
+        return;
+    }
+    giveUp(state, *owner, ticket, overdueError(*owner, owner->requests_.byTicket_.at(ticket)), out);
+}
+
+void onOwnerPoolTimer(ProxyState &state, const TimerTag &tag, Time now, Effects &out)
+{
+    GroupOwner *owner = findOwner(state, tag.group_);
+    if (owner == nullptr) {
+        return;
+    }
+    wantDispatch(state, *owner);
+    const bool regular = tag.key_ == 0;
+    if (!regular) {
+        return;
+    }
+    for (const Ticket ticket : closeOverdue(state, *owner, now, out)) {
+        giveUp(state, *owner, ticket, ErrorKind::UpstreamFailed, out);
+    }
+    loseIdleTransactions(state, *owner, now, out);
+    tendConnections(state, *owner, now, out);
+    if (owner->leaving_ && isIdle(*owner)) {
+        while (!owner->pool_.connections_.empty()) {
+            closeConnection(state, *owner, owner->pool_.connections_.begin()->first, out);
+        }
+        state.owners_.erase(tag.group_);
+        return;
+    }
+    state.timers_.arm(now + tendInterval, { TimerTopic::OwnerPool, tag.group_, 0 });
+}
+
+void startOwnerRequests(ProxyState &state, GroupOwner &owner, Time now, Effects &out)
+{
+    tendConnections(state, owner, now, out);
+    state.timers_.arm(now + tendInterval, { TimerTopic::OwnerPool, owner.config_.id_, 0 });
+}
+
+} // namespace Figward
--- /dev/null
+++ b/src/Reducer.cpp
@@ -0,0 +1,158 @@
+#include "Reducer.h"
+
+#include "OwnerAnswers.h"
+#include "OwnerDispatch.h"
+#include "OwnerTransactions.h"
+
+namespace Figward {
+
+namespace {
+
+/** Calls the overload that fits the alternative of a variant. */
+template<typename... Handlers>
+struct Overloaded : Handlers...
+{
+    using Handlers::operator()...;
+};
+template<typename... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+using TimerHandler = void (*)(ProxyState &, const TimerTag &, Time, Effects &);
+
+/** The one subscriber of each topic. */
+TimerHandler subscriberOf(TimerTopic topic)
+{
+    switch (topic) {
+    case TimerTopic::EntryDeadline:
+        return onEntryTimer;
+    case TimerTopic::OwnerDeadline:
+        return onOwnerDeadline;
+    case TimerTopic::ProbeRound:
+    case TimerTopic::PositionPoll:
+        return onProbeTimer;
+    case TimerTopic::Failover:
+    case TimerTopic::GroupRecord:
+        return onFailoverTimer;
+    case TimerTopic::OwnerPool:
+        return onOwnerPoolTimer;
+    case TimerTopic::Membership:
+        return onMembershipTimer;
+    case TimerTopic::Configuration:
+        return onConfigurationTimer;
+    case TimerTopic::Quota:
+        return onQuotaTimer;
+    case TimerTopic::Status:
+        return onStatusTimer;
+    case TimerTopic::Drain:
+        return onDrainTimer;
+    }
+    return nullptr;
+}
+
+void onStarted(ProxyState &state, Time now, Effects &out)
+{
+    startMembership(state, now, out);
+    startConfigurationSync(state, now, out);
+    startStatus(state, now, out);
+}
+
+void onWakeUp(ProxyState &state, Time now, Effects &out)
+{
+    state.armedAt_.reset();
+    for (const TimerTag &tag : state.timers_.takeDue(now)) {
+        subscriberOf(tag.topic_)(state, tag, now, out);
+    }
+}
+
+void onPeerMessage(ProxyState &state, const PeerMessage &message, Time now, Effects &out)
+{
+    const bool forFormerIncarnation = message.to_ != VmId(0) && message.to_ != state.identity_.self_.id_;
+    if (forFormerIncarnation) {
+        // What was meant for a process that is gone, such as an answer or a loan, must not be taken for this one's.
+        return;
+    }
+    onPeerVersion(state, message, now, out);
+    const Overloaded handle{
+        [&](const ForwardRequest &body) { acceptRequest(state, message, body, now, out); },
+        [&](const ForwardAnswer &body) { onForwardAnswer(state, message, body, now, out); },
+        [&](const AbandonTransaction &body) { onAbandonTransaction(state, message, body, out); },
+        [&](const SuspicionQuery &body) { onSuspicionQuery(state, message, body, now, out); },
+        [&](const SuspicionAnswer &body) { onSuspicionAnswer(state, message, body, now, out); },
+        [&](const PrimaryNews &body) { onPrimaryNews(state, message, body, now, out); },
+        [&](const Heartbeat &body) { onHeartbeat(state, message, body, now, out); },
+        [&](const VmListNews &body) { onVmListNews(state, message, body, now, out); },
+        [&](const ManifestRequest &) { onManifestRequest(state, message, now, out); },
+        [&](const ManifestNews &body) { onManifestNews(state, message, body, now, out); },
+        [&](const PartsRequest &body) { onPartsRequest(state, message, body, now, out); },
+        [&](const PartsNews &body) { onPartsNews(state, message, body, now, out); },
+        [&](const QuotaRequest &body) { onQuotaRequest(state, message, body, now, out); },
+        [&](const QuotaLoan &body) { onQuotaLoan(state, message, body, now, out); },
+        [&](const TermHandover &body) { onTermHandover(state, message, body, now, out); },
+        [&](const StatusNews &body) { onStatusNews(state, message, body, now, out); },
+    };
+    std::visit(handle, message.body_);
+}
+
+void takeIn(ProxyState &state, const Event &event, Effects &out)
+{
+    const Time now = event.now_;
+    const Overloaded handle{
+        [&](const Started &) { onStarted(state, now, out); },
+        [&](const WakeUp &) { onWakeUp(state, now, out); },
+        [&](const CallerAsked &body) { onCallerAsked(state, body, now, out); },
+        [&](const CallerGone &body) { onCallerGone(state, body, now, out); },
+        [&](const PeerReceived &body) { onPeerMessage(state, body.message_, now, out); },
+        [&](const PeerLost &body) { onPeerLost(state, body, now, out); },
+        [&](const ConnectionOpened &body) { onConnectionOpened(state, body, now, out); },
+        [&](const ConnectionLost &body) { onConnectionLost(state, body, now, out); },
+        [&](const UpstreamAnswered &body) { onUpstreamAnswered(state, body, now, out); },
+        [&](const ControlAnswered &body) { onControlAnswered(state, body.answer_, now, out); },
+        [&](const PlatformAnswered &body) { onPlatformAnswered(state, body.answer_, now, out); },
+        [&](const DrainAsked &) { onDrainAsked(state, now, out); },
+    };
+    std::visit(handle, event.body_);
+}
+
+/** Settles what the event stirred up: messages of the proxy to itself, and groups whose queue may move. */
+void settle(ProxyState &state, Time now, Effects &out)
+{
+    while (!state.local_.empty() || !state.dirty_.empty()) {
+        while (!state.local_.empty()) {
+            const PeerMessage message = std::move(state.local_.front());
+            state.local_.pop_front();
+            onPeerMessage(state, message, now, out);
+        }
+        std::set<GroupId> dirty;
+        dirty.swap(state.dirty_);
+        for (const GroupId &group : dirty) {
+            if (GroupOwner *owner = findOwner(state, group)) {
+                dispatch(state, *owner, now, out);
+            }
+        }
+    }
+}
+
+void armWakeUp(ProxyState &state, Effects &out)
+{
+    const std::optional<Time> next = state.timers_.next();
+    if (next && (!state.armedAt_ || *next < *state.armedAt_)) {
+        state.armedAt_ = next;
+        out.push_back(ArmWakeUp{ *next });
+    }
+}
+
+} // namespace
+
+Effects reduce(ProxyState &state, const Event &event)
+{
+    Effects out;
+    takeIn(state, event, out);
+    settle(state, event.now_, out);
+    if (state.drain_.draining_) {
+        reviewDrain(state, event.now_, out);
+    }
+    armWakeUp(state, out);
+    return out;
+}
+
+} // namespace Figward
