Messages: number quota requests and loans, let loans be returned and VM list changes spread

Cause: a loan that answers an earlier request must not be counted from a later one, and a borrower that is done has no way to say so; a change of the VM list can only be sent as the whole list. Change: QuotaRequest and QuotaLoan carry numbers, QuotaReturn ends a loan early, VmListNews names VMs that are gone. Result: builds; the handlers follow.

--- a/src/Peer.h
+++ b/src/Peer.h
@@ -58,10 +58,11 @@
     VmInfo sender_;
     bool wantsVms_ = false; ///< The sender has no list of VMs: answer with yours.
 };
-/** The sender's list of VMs, for one that cannot reach the platform. */
+/** What the sender has learnt of the list of VMs: a change that spreads from peer to peer, or all of it for one that asked by Heartbeat. */
 struct VmListNews
 {
-    std::vector<VmInfo> vms_;
+    std::vector<VmInfo> vms_; ///< New to the list, or changed.
+    std::vector<VmId> gone_; ///< No longer on the list.
 };
 /** Asks for the manifest of the receiver's configuration, if newer than the envelope's version. */
 struct ManifestRequest
@@ -87,6 +88,7 @@
 struct QuotaRequest
 {
     GroupId group_;
+    std::uint64_t ask_ = 0; ///< Number of this request at its sender; the loan names it.
     ConnectionCount connections_;
     SlotCount slots_;
 };
@@ -94,10 +96,18 @@
 struct QuotaLoan
 {
     GroupId group_;
+    std::uint64_t ask_ = 0; ///< The request that it answers.
+    std::uint64_t loan_ = 0; ///< Number of the loan at the lender; zero when nothing more is lent.
     ConnectionCount connections_;
     SlotCount slots_;
     Duration lease_{};
 };
+/** The borrower no longer uses a loan, which may end before its lease. */
+struct QuotaReturn
+{
+    GroupId group_;
+    std::uint64_t loan_ = 0;
+};
 /** A draining proxy hands terms of its block to another owner; the giver will not use them. */
 struct TermHandover
 {
@@ -126,7 +136,8 @@
                               QuotaRequest,
                               QuotaLoan,
                               TermHandover,
-                              StatusNews>;
+                              StatusNews,
+                              QuotaReturn>;
 
 /** A message from one proxy to another; may be lost, late, or arrive twice. */
 struct PeerMessage
--- a/src/Quota.cpp
+++ b/src/Quota.cpp
@@ -38,6 +38,10 @@
 {
 }
 
+void onQuotaReturn(ProxyState & /*state*/, const PeerMessage & /*message*/, const QuotaReturn & /*returned*/, Time /*now*/, Effects & /*out*/)
+{
+}
+
 void onQuotaTimer(ProxyState & /*state*/, const TimerTag & /*tag*/, Time /*now*/, Effects & /*out*/)
 {
 }
--- a/src/Quota.h
+++ b/src/Quota.h
@@ -34,6 +34,7 @@
 void onQuotaShort(ProxyState &state, GroupOwner &owner, Time now, Effects &out);
 void onQuotaRequest(ProxyState &state, const PeerMessage &message, const QuotaRequest &request, Time now, Effects &out);
 void onQuotaLoan(ProxyState &state, const PeerMessage &message, const QuotaLoan &loan, Time now, Effects &out);
+void onQuotaReturn(ProxyState &state, const PeerMessage &message, const QuotaReturn &returned, Time now, Effects &out);
 /** Subscriber of Quota. */
 void onQuotaTimer(ProxyState &state, const TimerTag &tag, Time now, Effects &out);
 
--- a/src/Reducer.cpp
+++ b/src/Reducer.cpp
@@ -89,6 +89,7 @@
         [&](const QuotaLoan &body) { onQuotaLoan(state, message, body, now, out); },
         [&](const TermHandover &body) { onTermHandover(state, message, body, now, out); },
         [&](const StatusNews &body) { onStatusNews(state, message, body, now, out); },
+        [&](const QuotaReturn &body) { onQuotaReturn(state, message, body, now, out); },
     };
     std::visit(handle, message.body_);
 }
