--- a/src/Reducer.cpp
+++ b/src/Reducer.cpp
@@ -1,5 +1,6 @@
 #include "Reducer.h"
 
+#include "Overloaded.h"
 #include "OwnerAnswers.h"
 #include "OwnerDispatch.h"
 #include "OwnerTransactions.h"
@@ -8,15 +9,6 @@
 
 namespace {
 
-/** Calls the overload that fits the alternative of a variant. */
-template<typename... Handlers>
-struct Overloaded : Handlers...
-{
-    using Handlers::operator()...;
-};
-template<typename... Handlers>
-Overloaded(Handlers...) -> Overloaded<Handlers...>;
-
 using TimerHandler = void (*)(ProxyState &, const TimerTag &, Time, Effects &);
 
 /** The one subscriber of each topic. */
--- /dev/null
+++ b/src/WirePeer.h
@@ -0,0 +1,18 @@
+/** \file
+ * Defines how messages between proxies become protobuf messages and back.
+ */
+#pragma once
+
+#include "Peer.h"
+#include "Protocol.h"
+
+#include <peer.pb.h>
+
+#include <absl/status/statusor.h>
+
+namespace Figward::Wire {
+
+v1::PeerMessage encodePeer(const PeerMessage &message);
+absl::StatusOr<PeerMessage> decodePeer(const v1::PeerMessage &in);
+
+} // namespace Figward::Wire
