--- a/src/ConfigurationSync.cpp
+++ b/src/ConfigurationSync.cpp
@@ -42,7 +42,7 @@
         return;
     }
     state.configuration_ = std::move(configuration);
-    out.push_back(WriteLog{ LogNumber::ConfigurationInForce, { { "version", std::to_string(state.configuration_.version_.value()) } } });
+    out.push_back(WriteLog{LogNumber::ConfigurationInForce, {{"version", std::to_string(state.configuration_.version_.value())}}});
     refreshOwnership(state, now, out);
 }
 
--- a/src/ConnectionPool.cpp
+++ b/src/ConnectionPool.cpp
@@ -10,6 +10,9 @@
 
 constexpr std::size_t maxOpening = 4; // Opening takes about 10 ms: a few at a time follow a burst without draining the quota for one member.
 
+constexpr unsigned missedProbesToWriteOff = 2;
+constexpr Duration openingLimit = std::chrono::seconds(1); // A hundred times what opening takes.
+
 bool isLeaving(const GroupOwner &owner, const MemberId &member)
 {
     const MemberView *view = findMember(owner.view_, member);
@@ -40,9 +43,9 @@
 void open(ProxyState &state, GroupOwner &owner, const MemberView &member, Time now, Effects &out)
 {
     const ConnectionId id(takeId(state));
-    owner.pool_.connections_[id] = { .member_ = member.config_.id_, .use_ = ConnectionUse::Opening, .since_ = now };
+    owner.pool_.connections_[id] = {.member_ = member.config_.id_, .use_ = ConnectionUse::Opening, .since_ = now};
     state.connections_[id] = owner.config_.id_;
-    out.push_back(OpenConnection{ id, member.config_.id_, member.config_.address_ });
+    out.push_back(OpenConnection{id, member.config_.id_, member.config_.address_});
 }
 
 bool quotaLeft(const GroupOwner &owner, Time now)
@@ -69,6 +72,21 @@
     open(state, owner, *view, now, out);
 }
 
+/** A member that is cut off neither accepts nor refuses: without a limit its openings would hold their part of the quota for ever. */
+void closeStuckOpenings(ProxyState &state, GroupOwner &owner, Time now, Effects &out)
+{
+    std::vector<ConnectionId> stuck;
+    for (const auto &[id, connection] : owner.pool_.connections_) {
+        if (connection.use_ == ConnectionUse::Opening && now - connection.since_ > openingLimit) {
+            stuck.push_back(id);
+            noteFailure(owner.pool_.circuits_[connection.member_], now, state.random_);
+        }
+    }
+    for (const ConnectionId id : stuck) {
+        closeConnection(state, owner, id, out);
+    }
+}
+
 } // namespace
 
 std::optional<ConnectionId> takeConnection(ProxyState &state, GroupOwner &owner, const MemberId &member, Time now, Effects &out)
@@ -84,12 +102,21 @@
     return std::nullopt;
 }
 
+unsigned slotsInUse(const GroupOwner &owner)
+{
+    // Statements to a dead primary stay unanswered until their timeout. If they kept their slots, reads at healthy replicas would stall with them.
+    const auto usesSlot = [&](const auto &entry) {
+        const MemberView *member = findMember(owner.view_, entry.second.member_);
+        return entry.second.use_ == ConnectionUse::Busy && member != nullptr && member->missedProbes_ < missedProbesToWriteOff;
+    };
+    return static_cast<unsigned>(std::ranges::count_if(owner.pool_.connections_, usesSlot));
+}
+
 void markBusy(GroupOwner &owner, ConnectionId connection, Time now)
 {
     PooledConnection &pooled = owner.pool_.connections_.at(connection);
     pooled.use_ = ConnectionUse::Busy;
     pooled.since_ = now;
-    ++owner.pool_.running_;
 }
 
 void markAnswered(GroupOwner &owner, ConnectionId connection, Time now)
@@ -100,7 +127,6 @@
     }
     found->second.use_ = found->second.pinned_ ? ConnectionUse::Pinned : ConnectionUse::Idle;
     found->second.since_ = now;
-    --owner.pool_.running_;
 }
 
 std::optional<MemberId> forgetConnection(ProxyState &state, GroupOwner &owner, ConnectionId connection)
@@ -111,7 +137,6 @@
     }
     const PooledConnection gone = found->second;
     if (gone.use_ == ConnectionUse::Busy) {
-        --owner.pool_.running_;
     }
     owner.pool_.connections_.erase(found);
     state.connections_.erase(connection);
@@ -121,12 +146,13 @@
 void closeConnection(ProxyState &state, GroupOwner &owner, ConnectionId connection, Effects &out)
 {
     if (forgetConnection(state, owner, connection)) {
-        out.push_back(CloseConnection{ connection });
+        out.push_back(CloseConnection{connection});
     }
 }
 
 void tendConnections(ProxyState &state, GroupOwner &owner, Time now, Effects &out)
 {
+    closeStuckOpenings(state, owner, now, out);
     std::vector<ConnectionId> surplus;
     std::map<MemberId, unsigned> idle;
     for (const auto &[id, connection] : owner.pool_.connections_) {
--- a/src/ConnectionPool.h
+++ b/src/ConnectionPool.h
@@ -39,7 +39,6 @@
 {
     std::map<ConnectionId, PooledConnection> connections_;
     std::map<MemberId, CircuitBreaker> circuits_;
-    unsigned running_ = 0; ///< Statements unanswered, each of which uses a slot.
     Time busyUntil_; ///< The group had no slot left: no new statement before this.
     Time refusedUntil_; ///< An upstream refused a connection: no new one before this.
 };
@@ -49,6 +48,8 @@
  * need be, and returns nothing: the dispatcher is called again when it is ready.
  */
 std::optional<ConnectionId> takeConnection(ProxyState &state, GroupOwner &owner, const MemberId &member, Time now, Effects &out);
+/** Statements under way that use a slot. What was sent to a member that no longer answers probes does not count. */
+unsigned slotsInUse(const GroupOwner &owner);
 /** Marks \p connection busy with a statement. */
 void markBusy(GroupOwner &owner, ConnectionId connection, Time now);
 /** The statement on \p connection was answered. */
--- a/src/Drain.cpp
+++ b/src/Drain.cpp
@@ -22,7 +22,7 @@
         return;
     }
     state.drain_.draining_ = true;
-    state.timers_.arm(now + state.configuration_.policy_.drainTimeout_, { TimerTopic::Drain, {}, 0 });
+    state.timers_.arm(now + state.configuration_.policy_.drainTimeout_, {TimerTopic::Drain, {}, 0});
     reviewDrain(state, now, out);
 }
 
--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -85,7 +85,7 @@
     switch (answer.outcome_) {
     case Outcome::Done:
         if (asked.request_.kind_ == RequestKind::Begin) {
-            state.entry_.transactions_[asked.beginning_] = { asked.request_.group_, asked.owner_, false };
+            state.entry_.transactions_[asked.beginning_] = {asked.request_.group_, asked.owner_, false};
         }
         concludeRequest(state, id, answer, out);
         return;
@@ -93,8 +93,14 @@
         takeRefusal(state, id, answer, now, out);
         return;
     case Outcome::Unknown:
-        asked.mayHaveRun_ = true;
         asked.lastError_ = answer.error_;
+        if (asked.request_.kind_ == RequestKind::Begin) {
+            // What it may have opened ends with the abandon: nothing of it can take effect.
+            sendPeer(state, asked.owner_, AbandonTransaction{asked.beginning_}, out);
+            retryRequest(state, id, now, out);
+            return;
+        }
+        asked.mayHaveRun_ = true;
         if (answer.error_ == ErrorKind::KeyTrimmed) {
             concludeRequest(state, id, answer, out);
             return;
@@ -112,7 +118,7 @@
     if (refusal != ErrorKind::None) {
         Answer answer = notRun(refusal, retryAdvice(refusal));
         answer.token_ = event.request_.token_;
-        out.push_back(AnswerCaller{ event.id_, std::move(answer) });
+        out.push_back(AnswerCaller{event.id_, std::move(answer)});
         return;
     }
     earnRetry(state.entry_.budget_, state.configuration_.policy_.retryBudgetPercent_);
@@ -125,7 +131,7 @@
     if (isTransactionStep(asked.request_)) {
         state.entry_.transactions_.at(asked.request_.transaction_).busy_ = true;
     }
-    state.timers_.arm(asked.deadline_, { TimerTopic::EntryDeadline, {}, event.id_.value() });
+    state.timers_.arm(asked.deadline_, {TimerTopic::EntryDeadline, {}, event.id_.value()});
     attemptRequest(state, event.id_, now, out);
 }
 
--- a/src/EntryAttempts.cpp
+++ b/src/EntryAttempts.cpp
@@ -54,7 +54,7 @@
     asked.tried_.clear();
     const auto jitter = Duration(static_cast<std::int64_t>(state.random_() % static_cast<std::uint64_t>(roundPause.count())));
     asked.attemptEnds_ = now + roundPause + jitter;
-    state.timers_.arm(asked.attemptEnds_, { TimerTopic::EntryDeadline, {}, id.value() });
+    state.timers_.arm(asked.attemptEnds_, {TimerTopic::EntryDeadline, {}, id.value()});
 }
 
 Request attemptedRequest(const EntryRequest &asked, Duration allowed)
@@ -83,8 +83,8 @@
     asked.attempt_ = RequestId(takeId(state));
     asked.attemptEnds_ = now + allowed;
     state.entry_.attempts_[asked.attempt_] = id;
-    state.timers_.arm(asked.attemptEnds_, { TimerTopic::EntryDeadline, {}, id.value() });
-    sendPeer(state, owner, ForwardRequest{ asked.attempt_, attemptedRequest(asked, allowed) }, out);
+    state.timers_.arm(asked.attemptEnds_, {TimerTopic::EntryDeadline, {}, id.value()});
+    sendPeer(state, owner, ForwardRequest{asked.attempt_, attemptedRequest(asked, allowed)}, out);
 }
 
 /** Whether time is so short that the outcome of earlier attempts matters more than another one. */
@@ -109,7 +109,7 @@
         }
     }
     if (asked.request_.kind_ == RequestKind::Begin) {
-        sendPeer(state, owner, AbandonTransaction{ asked.beginning_ }, out);
+        sendPeer(state, owner, AbandonTransaction{asked.beginning_}, out);
     }
     asked.mayHaveRun_ = asked.mayHaveRun_ || asked.request_.kind_ != RequestKind::Begin;
     asked.lastError_ = ErrorKind::NoOwner;
@@ -194,12 +194,12 @@
         answer.retryAfter_ = retryAdvice(answer.error_);
     }
     if (answer.outcome_ == Outcome::Unknown) {
-        out.push_back(WriteLog{
-            LogNumber::RequestUnknown,
-            { { "group", asked.request_.group_.value() }, { "error", std::string(toString(answer.error_)) }, { "request", std::to_string(id.value()) } } });
+        out.push_back(
+            WriteLog{LogNumber::RequestUnknown,
+                     {{"group", asked.request_.group_.value()}, {"error", std::string(toString(answer.error_))}, {"request", std::to_string(id.value())}}});
     }
     state.entry_.requests_.erase(found);
-    out.push_back(AnswerCaller{ id, std::move(answer) });
+    out.push_back(AnswerCaller{id, std::move(answer)});
 }
 
 void concludeFailed(ProxyState &state, RequestId id, Effects &out)
@@ -216,7 +216,7 @@
         return;
     }
     if (abandon) {
-        sendPeer(state, found->second.owner_, AbandonTransaction{ transaction }, out);
+        sendPeer(state, found->second.owner_, AbandonTransaction{transaction}, out);
     }
     state.entry_.transactions_.erase(found);
 }
--- a/src/LogEvents.cpp
+++ b/src/LogEvents.cpp
@@ -9,20 +9,20 @@
 namespace {
 
 constexpr std::array catalogue{
-    LogEventInfo{ LogNumber::ProcessStarted, LogLevel::Info, "process-started", "The process has started and listens." },
-    LogEventInfo{ LogNumber::ProcessStopped, LogLevel::Info, "process-stopped", "The process ends; nothing was in flight." },
-    LogEventInfo{ LogNumber::ConfigurationInForce, LogLevel::Info, "configuration-in-force", "This proxy works by the configuration version named." },
-    LogEventInfo{ LogNumber::ConfigurationRefused,
-                  LogLevel::Error,
-                  "configuration-refused",
-                  "A configuration cannot be used here; the former one stays in force." },
-    LogEventInfo{ LogNumber::MemberSuspected, LogLevel::Warning, "member-suspected", "A member missed so many probes that it may be lost." },
-    LogEventInfo{ LogNumber::FailoverStarted, LogLevel::Warning, "failover-started", "This proxy fences a majority of the group to replace the primary." },
-    LogEventInfo{ LogNumber::PrimaryPromoted, LogLevel::Warning, "primary-promoted", "The group has a new primary." },
-    LogEventInfo{ LogNumber::FailoverAbandoned, LogLevel::Warning, "failover-abandoned", "A failover ended without a promotion by this proxy." },
-    LogEventInfo{ LogNumber::RequestUnknown, LogLevel::Warning, "request-unknown", "A caller was told that the fate of its request is unknown." },
-    LogEventInfo{ LogNumber::ConnectionOverdue, LogLevel::Warning, "connection-overdue", "An answer is overdue; its connection is closed and never reused." },
-    LogEventInfo{ LogNumber::UpstreamConnectFailed, LogLevel::Warning, "upstream-connect-failed", "A connection to a member could not be opened." },
+    LogEventInfo{LogNumber::ProcessStarted, LogLevel::Info, "process-started", "The process has started and listens."},
+    LogEventInfo{LogNumber::ProcessStopped, LogLevel::Info, "process-stopped", "The process ends; nothing was in flight."},
+    LogEventInfo{LogNumber::ConfigurationInForce, LogLevel::Info, "configuration-in-force", "This proxy works by the configuration version named."},
+    LogEventInfo{LogNumber::ConfigurationRefused,
+                 LogLevel::Error,
+                 "configuration-refused",
+                 "A configuration cannot be used here; the former one stays in force."},
+    LogEventInfo{LogNumber::MemberSuspected, LogLevel::Warning, "member-suspected", "A member missed so many probes that it may be lost."},
+    LogEventInfo{LogNumber::FailoverStarted, LogLevel::Warning, "failover-started", "This proxy fences a majority of the group to replace the primary."},
+    LogEventInfo{LogNumber::PrimaryPromoted, LogLevel::Warning, "primary-promoted", "The group has a new primary."},
+    LogEventInfo{LogNumber::FailoverAbandoned, LogLevel::Warning, "failover-abandoned", "A failover ended without a promotion by this proxy."},
+    LogEventInfo{LogNumber::RequestUnknown, LogLevel::Warning, "request-unknown", "A caller was told that the fate of its request is unknown."},
+    LogEventInfo{LogNumber::ConnectionOverdue, LogLevel::Warning, "connection-overdue", "An answer is overdue; its connection is closed and never reused."},
+    LogEventInfo{LogNumber::UpstreamConnectFailed, LogLevel::Warning, "upstream-connect-failed", "A connection to a member could not be opened."},
 };
 
 } // namespace
--- a/src/MajorityWait.cpp
+++ b/src/MajorityWait.cpp
@@ -14,7 +14,7 @@
 
 void beginWait(MajorityWait &wait, LogPoint point, Ticket ticket, Time now)
 {
-    wait.waiting_.emplace(point, MajorityWaiter{ ticket, now });
+    wait.waiting_.emplace(point, MajorityWaiter{ticket, now});
 }
 
 void endWait(MajorityWait &wait, LogPoint point, Ticket ticket)
--- a/src/MemberChoice.cpp
+++ b/src/MemberChoice.cpp
@@ -39,7 +39,7 @@
 {
     const auto busyHere = [&](const auto &entry) { return entry.second.member_ == member.config_.id_ && entry.second.use_ != ConnectionUse::Idle; };
     const auto busy = std::ranges::count_if(owner.pool_.connections_, busyHere);
-    return { member.config_.zone_ != zone, static_cast<std::size_t>(busy) };
+    return {member.config_.zone_ != zone, static_cast<std::size_t>(busy)};
 }
 
 const MemberView *bestReplica(const GroupOwner &owner, const ReadNeeds &needs, const ZoneId &zone, Time now)
@@ -74,19 +74,19 @@
     const bool replicaAllowed = needs.after_ || needs.maxStaleness_;
     if (replicaAllowed) {
         if (const MemberView *replica = bestReplica(owner, needs, zone, now)) {
-            return { ReadStep::UseReplica, replica->config_.id_ };
+            return {ReadStep::UseReplica, replica->config_.id_};
         }
         if (mayWait) {
-            return { ReadStep::Wait, {} };
+            return {ReadStep::Wait, {}};
         }
     }
     const std::optional<MemberId> primary = usablePrimary(owner, now);
     // A token of a later term than the one known here says that this primary has been replaced: it may lack the session's own writes.
     const bool replaced = needs.after_ && needs.after_->term_ > owner.view_.term_;
     if (!primary || replaced) {
-        return { ReadStep::Unserved, {} };
+        return {ReadStep::Unserved, {}};
     }
-    return { ReadStep::UsePrimary, *primary };
+    return {ReadStep::UsePrimary, *primary};
 }
 
 std::optional<MemberId> usablePrimary(const GroupOwner &owner, Time now)
--- a/src/Membership.cpp
+++ b/src/Membership.cpp
@@ -19,7 +19,7 @@
     owner.config_ = config;
     owner.view_.members_.clear();
     for (const MemberConfig &member : config.members_) {
-        owner.view_.members_.push_back({ .config_ = member });
+        owner.view_.members_.push_back({.config_ = member});
     }
     startProbing(state, owner, now, out);
     startFailover(state, owner, now, out);
@@ -31,7 +31,7 @@
 void startMembership(ProxyState &state, Time now, Effects &out)
 {
     callPlatform(state, PlatformUser::Membership, ListVms{}, listTimeout, out);
-    state.timers_.arm(now + listInterval, { TimerTopic::Membership, {}, 0 });
+    state.timers_.arm(now + listInterval, {TimerTopic::Membership, {}, 0});
 }
 
 void onMembershipTimer(ProxyState &state, const TimerTag & /*tag*/, Time now, Effects &out)
@@ -87,12 +87,12 @@
 void sendPeer(ProxyState &state, const VmInfo &to, PeerBody body, Effects &out)
 {
     const VmInfo &self = state.identity_.self_;
-    PeerMessage message{ self.id_, to.id_, self.address_, state.configuration_.version_, std::move(body) };
+    PeerMessage message{self.id_, to.id_, self.address_, state.configuration_.version_, std::move(body)};
     if (to.id_ == self.id_) {
         state.local_.push_back(std::move(message));
         return;
     }
-    out.push_back(SendPeer{ to.address_, std::move(message) });
+    out.push_back(SendPeer{to.address_, std::move(message)});
 }
 
 const VmInfo *findVm(const ProxyState &state, VmId id)
--- a/src/OwnerAnswers.cpp
+++ b/src/OwnerAnswers.cpp
@@ -116,7 +116,7 @@
         owner.requests_.transactions_.at(transactionKeyOf(owner.requests_.byTicket_.at(ticket))).busy_ = false;
     }
     owner.pool_.busyUntil_ = now + busyBackoff;
-    state.timers_.arm(owner.pool_.busyUntil_, { TimerTopic::OwnerPool, owner.config_.id_, onlyDispatch });
+    state.timers_.arm(owner.pool_.busyUntil_, {TimerTopic::OwnerPool, owner.config_.id_, onlyDispatch});
 }
 
 void takeResult(ProxyState &state, GroupOwner &owner, Ticket ticket, ConnectionId connection, const UpstreamAnswer &answered, Time now, Effects &out)
@@ -212,6 +212,10 @@
     const bool waits = owned != owner->requests_.byTicket_.end() && owned->second.statement_ == event.answer_.id_;
     if (waits) {
         takeResult(state, *owner, sent.ticket_, event.connection_, event.answer_, now, out);
+    } else if (sent.opensTransaction_) {
+        // Its caller gave up while Begin was under way. Put back among the idle ones, the connection would run the next caller's statements
+        // inside this transaction; closed, the upstream rolls it back.
+        closeConnection(state, *owner, event.connection_, out);
     }
     onGroupViewChanged(state, *owner, now, out);
     reviewPrimary(state, *owner, now, out);
@@ -245,7 +249,7 @@
         noteFailure(owner->pool_.circuits_[*member], now, state.random_);
     }
     if (event.end_ != ConnectionEnd::Closed) {
-        out.push_back(WriteLog{ LogNumber::UpstreamConnectFailed, { { "group", owner->config_.id_.value() }, { "member", member->value() } } });
+        out.push_back(WriteLog{LogNumber::UpstreamConnectFailed, {{"group", owner->config_.id_.value()}, {"member", member->value()}}});
     }
     restartAfterLoss(state, *owner, event.connection_, out);
     wantDispatch(state, *owner);
--- a/src/OwnerDispatch.cpp
+++ b/src/OwnerDispatch.cpp
@@ -28,7 +28,7 @@
     if (transaction == owner.requests_.transactions_.end() || transaction->second.busy_) {
         return std::nullopt;
     }
-    return Target{ transaction->second.member_, transaction->second.connection_, false };
+    return Target{transaction->second.member_, transaction->second.connection_, false};
 }
 
 std::optional<Target> readTarget(ProxyState &state, GroupOwner &owner, Ticket ticket, OwnedRequest &owned, Time now, Effects &out)
@@ -39,13 +39,13 @@
     const MemberChoice choice = chooseForRead(owner, needs, state.identity_.self_.zone_, now, now < patientUntil);
     switch (choice.step_) {
     case ReadStep::UseReplica:
-        return Target{ choice.member_, std::nullopt, true };
+        return Target{choice.member_, std::nullopt, true};
     case ReadStep::UsePrimary:
-        return Target{ choice.member_, std::nullopt, false };
+        return Target{choice.member_, std::nullopt, false};
     case ReadStep::Wait:
         if (!owned.waitedForReplica_) {
             owned.waitedForReplica_ = true;
-            state.timers_.arm(patientUntil, { TimerTopic::OwnerPool, owner.config_.id_, ticket.value() });
+            state.timers_.arm(patientUntil, {TimerTopic::OwnerPool, owner.config_.id_, ticket.value()});
         }
         pollPositions(state, owner, now, out);
         return std::nullopt;
@@ -64,7 +64,7 @@
         return readTarget(state, owner, ticket, owned, now, out);
     }
     const std::optional<MemberId> primary = usablePrimary(owner, now);
-    return primary ? std::optional(Target{ *primary, std::nullopt, false }) : std::nullopt;
+    return primary ? std::optional(Target{*primary, std::nullopt, false}) : std::nullopt;
 }
 
 UpstreamStatement statementFor(const GroupOwner &owner, const OwnedRequest &owned, StatementId id)
@@ -87,19 +87,19 @@
     owned.statement_ = id;
     owned.member_ = target.member_;
     owned.toReplica_ = target.replica_;
-    owner.requests_.sent_[id] = { connection, ticket, now };
+    owner.requests_.sent_[id] = {connection, ticket, now, owned.request_.kind_ == RequestKind::Begin};
     markBusy(owner, connection, now);
     if (isTransactionStep(owned.request_)) {
         OwnedTransaction &transaction = owner.requests_.transactions_.at(transactionKeyOf(owned));
         transaction.busy_ = true;
         transaction.usedAt_ = now;
     }
-    out.push_back(SendStatement{ connection, statementFor(owner, owned, id) });
+    out.push_back(SendStatement{connection, statementFor(owner, owned, id)});
 }
 
 bool slotsLeft(const GroupOwner &owner, Time now)
 {
-    return now >= owner.pool_.busyUntil_ && owner.pool_.running_ < usableQuota(owner, now).slots_.value();
+    return now >= owner.pool_.busyUntil_ && slotsInUse(owner) < usableQuota(owner, now).slots_.value();
 }
 
 } // namespace
--- a/src/OwnerRequests.cpp
+++ b/src/OwnerRequests.cpp
@@ -16,7 +16,7 @@
 /** Refuses \p forward without having looked for work to do. */
 void refuse(ProxyState &state, const RequestOrigin &origin, ErrorKind error, std::optional<Duration> retryAfter, Effects &out)
 {
-    sendPeer(state, origin.entry_, ForwardAnswer{ origin.id_, notRun(error, retryAfter) }, out);
+    sendPeer(state, origin.entry_, ForwardAnswer{origin.id_, notRun(error, retryAfter)}, out);
 }
 
 unsigned priorityOf(const ProxyState &state, const Request &request)
@@ -119,8 +119,7 @@
     for (const StatementId id : overdue) {
         const SentStatement sent = owner.requests_.sent_.at(id);
         owner.requests_.sent_.erase(id);
-        out.push_back(
-            WriteLog{ LogNumber::ConnectionOverdue, { { "group", owner.config_.id_.value() }, { "connection", std::to_string(sent.connection_.value()) } } });
+        out.push_back(WriteLog{LogNumber::ConnectionOverdue, {{"group", owner.config_.id_.value()}, {"connection", std::to_string(sent.connection_.value())}}});
         closeConnection(state, owner, sent.connection_, out);
         const auto owned = owner.requests_.byTicket_.find(sent.ticket_);
         if (owned != owner.requests_.byTicket_.end() && owned->second.statement_ == id) {
@@ -140,7 +139,7 @@
 void acceptRequest(ProxyState &state, const PeerMessage &message, const ForwardRequest &forward, Time now, Effects &out)
 {
     OwnedRequest owned;
-    owned.origin_ = { { message.from_, {}, message.fromAddress_, false }, forward.id_ };
+    owned.origin_ = {{message.from_, {}, message.fromAddress_, false}, forward.id_};
     owned.request_ = forward.request_;
     owned.acceptedAt_ = now;
     owned.deadline_ = now + forward.request_.timeout_;
@@ -155,7 +154,7 @@
         return;
     }
     const Ticket ticket(takeId(state));
-    owned.place_ = { priorityOf(state, owned.request_), owned.deadline_, ticket };
+    owned.place_ = {priorityOf(state, owned.request_), owned.deadline_, ticket};
     const AdmissionVerdict verdict = admit(owner->queue_, owned.place_, state.configuration_.policy_.queueLimit_, usableQuota(*owner, now).slots_, now);
     if (verdict.refusal_ != ErrorKind::None) {
         refuse(state, owned.origin_, verdict.refusal_, verdict.retryAfter_, out);
@@ -164,7 +163,7 @@
     if (verdict.evicted_) {
         evict(state, *owner, *verdict.evicted_, verdict.retryAfter_, out);
     }
-    state.timers_.arm(owned.deadline_, { TimerTopic::OwnerDeadline, owner->config_.id_, ticket.value() });
+    state.timers_.arm(owned.deadline_, {TimerTopic::OwnerDeadline, owner->config_.id_, ticket.value()});
     owner->requests_.byTicket_.emplace(ticket, std::move(owned));
     wantDispatch(state, *owner);
 }
@@ -184,7 +183,7 @@
     if (transaction != owner.requests_.transactions_.end()) {
         transaction->second.busy_ = false;
     }
-    sendPeer(state, owned.origin_.entry_, ForwardAnswer{ owned.origin_.id_, std::move(answer) }, out);
+    sendPeer(state, owned.origin_.entry_, ForwardAnswer{owned.origin_.id_, std::move(answer)}, out);
     owner.requests_.byTicket_.erase(found);
 }
 
@@ -276,13 +275,13 @@
         state.owners_.erase(tag.group_);
         return;
     }
-    state.timers_.arm(now + tendInterval, { TimerTopic::OwnerPool, tag.group_, 0 });
+    state.timers_.arm(now + tendInterval, {TimerTopic::OwnerPool, tag.group_, 0});
 }
 
 void startOwnerRequests(ProxyState &state, GroupOwner &owner, Time now, Effects &out)
 {
     tendConnections(state, owner, now, out);
-    state.timers_.arm(now + tendInterval, { TimerTopic::OwnerPool, owner.config_.id_, 0 });
+    state.timers_.arm(now + tendInterval, {TimerTopic::OwnerPool, owner.config_.id_, 0});
 }
 
 } // namespace Figward
--- a/src/OwnerRequests.h
+++ b/src/OwnerRequests.h
@@ -57,6 +57,7 @@
     ConnectionId connection_;
     Ticket ticket_;
     Time sentAt_;
+    bool opensTransaction_ = false; ///< Its connection must not be shared before the transaction it opens has ended.
 };
 
 /** Names a transaction at an owner: two entries may use the same number. */
--- a/src/OwnerTransactions.cpp
+++ b/src/OwnerTransactions.cpp
@@ -18,7 +18,7 @@
     PooledConnection &pooled = owner.pool_.connections_.at(connection);
     pooled.pinned_ = true;
     pooled.use_ = ConnectionUse::Pinned;
-    owner.requests_.transactions_[transactionKeyOf(begin)] = { connection, pooled.member_, owner.view_.term_, now, false };
+    owner.requests_.transactions_[transactionKeyOf(begin)] = {connection, pooled.member_, owner.view_.term_, now, false};
 }
 
 void closeTransaction(GroupOwner &owner, const TransactionKey &key)
@@ -60,7 +60,7 @@
 
 void onAbandonTransaction(ProxyState &state, const PeerMessage &message, const AbandonTransaction &abandon, Effects &out)
 {
-    const TransactionKey key{ message.from_, abandon.transaction_ };
+    const TransactionKey key{message.from_, abandon.transaction_};
     for (auto &[group, owner] : state.owners_) {
         loseTransaction(state, owner, key, out);
         // The Begin itself may still wait here: without this its transaction would open for a caller that is gone.
@@ -91,7 +91,7 @@
 
 TransactionKey transactionKeyOf(const OwnedRequest &request)
 {
-    return { request.origin_.entry_.id_, request.request_.transaction_ };
+    return {request.origin_.entry_.id_, request.request_.transaction_};
 }
 
 } // namespace Figward
--- a/src/PlatformClient.cpp
+++ b/src/PlatformClient.cpp
@@ -7,8 +7,8 @@
 CallId callPlatform(ProxyState &state, PlatformUser user, PlatformBody body, Duration timeout, Effects &out, GroupId group, std::string detail)
 {
     const CallId id(state.platform_.nextCall_++);
-    state.platform_.outstanding_[id] = { user, std::move(group), std::move(detail) };
-    out.push_back(CallPlatform{ { id, timeout, std::move(body) } });
+    state.platform_.outstanding_[id] = {user, std::move(group), std::move(detail)};
+    out.push_back(CallPlatform{{id, timeout, std::move(body)}});
     return id;
 }
 
--- a/src/Probing.cpp
+++ b/src/Probing.cpp
@@ -15,8 +15,8 @@
         return;
     }
     const ControlId id(takeId(state));
-    state.controls_[id] = { owner.config_.id_, member.config_.id_, now, round };
-    out.push_back(SendControl{ member.config_.id_, member.config_.address_, state.configuration_.policy_.probeTimeout_, { id, Probe{} } });
+    state.controls_[id] = {owner.config_.id_, member.config_.id_, now, round};
+    out.push_back(SendControl{member.config_.id_, member.config_.address_, state.configuration_.policy_.probeTimeout_, {id, Probe{}}});
 }
 
 void probeRound(ProxyState &state, GroupOwner &owner, Time now, Effects &out)
@@ -46,7 +46,7 @@
 void startProbing(ProxyState &state, GroupOwner &owner, Time now, Effects &out)
 {
     probeRound(state, owner, now, out);
-    state.timers_.arm(now + state.configuration_.policy_.probeInterval_, { TimerTopic::ProbeRound, owner.config_.id_, 0 });
+    state.timers_.arm(now + state.configuration_.policy_.probeInterval_, {TimerTopic::ProbeRound, owner.config_.id_, 0});
 }
 
 void pollPositions(ProxyState &state, GroupOwner &owner, Time now, Effects & /*out*/)
@@ -55,7 +55,7 @@
         return;
     }
     owner.probes_.pollArmed_ = true;
-    state.timers_.arm(now + pollInterval, { TimerTopic::PositionPoll, owner.config_.id_, 0 });
+    state.timers_.arm(now + pollInterval, {TimerTopic::PositionPoll, owner.config_.id_, 0});
 }
 
 void onProbeTimer(ProxyState &state, const TimerTag &tag, Time now, Effects &out)
@@ -66,7 +66,7 @@
     }
     probeRound(state, *owner, now, out);
     if (tag.topic_ == TimerTopic::ProbeRound) {
-        state.timers_.arm(now + state.configuration_.policy_.probeInterval_, { TimerTopic::ProbeRound, tag.group_, 0 });
+        state.timers_.arm(now + state.configuration_.policy_.probeInterval_, {TimerTopic::ProbeRound, tag.group_, 0});
         return;
     }
     owner->probes_.pollArmed_ = false;
--- a/src/ProxyState.cpp
+++ b/src/ProxyState.cpp
@@ -5,7 +5,7 @@
 ProxyState makeProxyState(ProxyIdentity identity, std::uint64_t seed)
 {
     ProxyState state;
-    state.membership_.vms_ = { identity.self_ };
+    state.membership_.vms_ = {identity.self_};
     state.identity_ = std::move(identity);
     state.random_.seed(seed);
     return state;
--- a/src/Reducer.cpp
+++ b/src/Reducer.cpp
@@ -130,7 +130,7 @@
     const std::optional<Time> next = state.timers_.next();
     if (next && (!state.armedAt_ || *next < *state.armedAt_)) {
         state.armedAt_ = next;
-        out.push_back(ArmWakeUp{ *next });
+        out.push_back(ArmWakeUp{*next});
     }
 }
 
--- a/src/ReplicaAge.cpp
+++ b/src/ReplicaAge.cpp
@@ -11,7 +11,7 @@
 
 void closeRound(ReplicaAge &ages, const AgeRound &round)
 {
-    const AgeSample sample{ round.askedAt_, *round.primaryPoint_ };
+    const AgeSample sample{round.askedAt_, *round.primaryPoint_};
     const auto place = std::ranges::upper_bound(ages.samples_, sample.askedAt_, {}, &AgeSample::askedAt_);
     ages.samples_.insert(place, sample);
     if (ages.samples_.size() > maxSamples) {
--- a/src/Request.cpp
+++ b/src/Request.cpp
@@ -64,7 +64,7 @@
         if (entry.first.empty() || !absl::SimpleAtoi(point.first, &term) || !absl::SimpleAtoi(point.second, &position)) {
             return malformed();
         }
-        advance(token, GroupId(std::string(entry.first)), { Term(term), Position(position) });
+        advance(token, GroupId(std::string(entry.first)), {Term(term), Position(position)});
     }
     return token;
 }
--- a/src/TimerService.cpp
+++ b/src/TimerService.cpp
@@ -11,7 +11,7 @@
 
 void TimerService::arm(Time at, TimerTag tag)
 {
-    armed_.push({ at, nextOrder_++, std::move(tag) });
+    armed_.push({at, nextOrder_++, std::move(tag)});
 }
 
 std::vector<TimerTag> TimerService::takeDue(Time now)
--- a/test/correctness/SessionTokenTravels.cpp
+++ b/test/correctness/SessionTokenTravels.cpp
@@ -7,8 +7,8 @@
 TEST(SessionTokenTravels, survivesEncoding)
 {
     SessionToken token;
-    advance(token, GroupId("tyres-1"), { Term(3), Position(17) });
-    advance(token, GroupId("tyres-2"), { Term(1), Position(4) });
+    advance(token, GroupId("tyres-1"), {Term(3), Position(17)});
+    advance(token, GroupId("tyres-2"), {Term(1), Position(4)});
     const absl::StatusOr<SessionToken> decoded = decodeToken(encodeToken(token));
     ASSERT_TRUE(decoded.ok());
     EXPECT_EQ(*decoded, token);
@@ -17,9 +17,9 @@
 TEST(SessionTokenTravels, neverGoesBack)
 {
     SessionToken token;
-    advance(token, GroupId("tyres-1"), { Term(3), Position(17) });
-    advance(token, GroupId("tyres-1"), { Term(2), Position(90) });
-    EXPECT_EQ(token.points_.at(GroupId("tyres-1")), (LogPoint{ Term(3), Position(17) }));
+    advance(token, GroupId("tyres-1"), {Term(3), Position(17)});
+    advance(token, GroupId("tyres-1"), {Term(2), Position(90)});
+    EXPECT_EQ(token.points_.at(GroupId("tyres-1")), (LogPoint{Term(3), Position(17)}));
 }
 
 TEST(SessionTokenTravels, damagedTextIsRefused)
