--- a/src/Ids.h
+++ b/src/Ids.h
@@ -16,7 +16,8 @@
 {
 public:
     constexpr StrongValue() = default;
-    constexpr explicit StrongValue(Rep value) : value_(std::move(value))
+    constexpr explicit StrongValue(Rep value)
+        : value_(std::move(value))
     {
     }
 
--- a/test/correctness/MessagesSurviveTheWire.cpp
+++ b/test/correctness/MessagesSurviveTheWire.cpp
@@ -19,11 +19,11 @@
     request.service_ = ServiceId("ledger");
     request.group_ = GroupId("ledger-1");
     request.body_ = std::string("a\0b", 3);
-    request.key_ = IdempotencyKey{ { 1700000000, 42 }, Sequence(7) };
+    request.key_ = IdempotencyKey{{1700000000, 42}, Sequence(7)};
     request.acknowledgedBelow_ = Sequence(5);
     request.idempotent_ = true;
     request.transaction_ = TransactionId(9);
-    advance(request.token_, GroupId("ledger-1"), { Term(3), Position(14) });
+    advance(request.token_, GroupId("ledger-1"), {Term(3), Position(14)});
     request.maxStaleness_ = std::chrono::milliseconds(250);
     request.timeout_ = std::chrono::seconds(2);
     request.class_ = ClassId("dispatch");
@@ -36,7 +36,7 @@
     answer.outcome_ = Outcome::Unknown;
     answer.error_ = ErrorKind::NoSuchTransaction;
     answer.body_ = "row";
-    advance(answer.token_, GroupId("ledger-1"), { Term(3), Position(15) });
+    advance(answer.token_, GroupId("ledger-1"), {Term(3), Position(15)});
     answer.retryAfter_ = std::chrono::milliseconds(30);
     answer.transaction_ = TransactionId(9);
     answer.servedBy_ = MemberId("ledger-1-b");
@@ -97,26 +97,26 @@
 /** One message of each kind, every field set; the wire form of a message shows all its fields. */
 std::vector<PeerBody> everyPeerBody()
 {
-    const VmInfo vm{ VmId(3), ZoneId("z1"), "10.0.0.3:7000", true };
+    const VmInfo vm{VmId(3), ZoneId("z1"), "10.0.0.3:7000", true};
     const GroupId group("ledger-1");
     return {
-        ForwardRequest{ RequestId(1), fullRequest() },
-        ForwardAnswer{ RequestId(1), fullAnswer() },
-        AbandonTransaction{ TransactionId(4) },
-        SuspicionQuery{ group, Term(2), MemberId("a") },
-        SuspicionAnswer{ group, Term(2), true },
-        PrimaryNews{ group, Term(2), MemberId("a") },
-        Heartbeat{ vm, true },
-        VmListNews{ { vm }, { VmId(8) } },
+        ForwardRequest{RequestId(1), fullRequest()},
+        ForwardAnswer{RequestId(1), fullAnswer()},
+        AbandonTransaction{TransactionId(4)},
+        SuspicionQuery{group, Term(2), MemberId("a")},
+        SuspicionAnswer{group, Term(2), true},
+        PrimaryNews{group, Term(2), MemberId("a")},
+        Heartbeat{vm, true},
+        VmListNews{{vm}, {VmId(8)}},
         ManifestRequest{},
-        ManifestNews{ ConfigVersion(5), "manifest" },
-        PartsRequest{ { "h1", "h2" } },
-        PartsNews{ { "p1", "p2" } },
-        QuotaRequest{ group, 11, ConnectionCount(2), SlotCount(1) },
-        QuotaLoan{ group, 11, 12, ConnectionCount(2), SlotCount(1), std::chrono::seconds(3) },
-        TermHandover{ group, Term(10), Term(19) },
-        StatusNews{ "report" },
-        QuotaReturn{ group, 12 },
+        ManifestNews{ConfigVersion(5), "manifest"},
+        PartsRequest{{"h1", "h2"}},
+        PartsNews{{"p1", "p2"}},
+        QuotaRequest{group, 11, ConnectionCount(2), SlotCount(1)},
+        QuotaLoan{group, 11, 12, ConnectionCount(2), SlotCount(1), std::chrono::seconds(3)},
+        TermHandover{group, Term(10), Term(19)},
+        StatusNews{"report"},
+        QuotaReturn{group, 12},
     };
 }
 
@@ -126,7 +126,7 @@
     ASSERT_EQ(bodies.size(), std::variant_size_v<PeerBody>);
     for (std::size_t kind = 0; kind < bodies.size(); ++kind) {
         ASSERT_EQ(bodies[kind].index(), kind);
-        const v1::PeerMessage sent = Wire::encodePeer({ VmId(1), VmId(2), "10.0.0.1:7000", ConfigVersion(6), bodies[kind] });
+        const v1::PeerMessage sent = Wire::encodePeer({VmId(1), VmId(2), "10.0.0.1:7000", ConfigVersion(6), bodies[kind]});
         const absl::StatusOr<PeerMessage> received = Wire::decodePeer(sent);
         ASSERT_TRUE(received.ok()) << kind;
         EXPECT_EQ(received->body_.index(), kind);
@@ -139,7 +139,7 @@
 
 TEST(MessagesSurviveTheWire, StatementsAndControlCalls)
 {
-    const UpstreamStatement statement{ StatementId(1), RequestKind::CancelKey, Term(2), IdempotencyKey{ { 1, 2 }, Sequence(3) }, Sequence(2), "body" };
+    const UpstreamStatement statement{StatementId(1), RequestKind::CancelKey, Term(2), IdempotencyKey{{1, 2}, Sequence(3)}, Sequence(2), "body"};
     v1::UpstreamStatement sent;
     Wire::encode(statement, sent);
     const absl::StatusOr<UpstreamStatement> received = Wire::decode(sent);
@@ -148,16 +148,16 @@
     EXPECT_EQ(received->key_, statement.key_);
     EXPECT_EQ(received->requiredTerm_, Term(2));
 
-    const MemberStatus status{ { Term(2), Position(9) }, Term(3), true, { { Term(1), Position(1) }, { Term(2), Position(5) } } };
+    const MemberStatus status{{Term(2), Position(9)}, Term(3), true, {{Term(1), Position(1)}, {Term(2), Position(5)}}};
     for (int result = 0; result <= static_cast<int>(UpstreamResult::NoTransaction); ++result) {
         v1::UpstreamAnswer out;
-        Wire::encode(UpstreamAnswer{ StatementId(1), static_cast<UpstreamResult>(result), "b", { Term(2), Position(9) }, status }, out);
+        Wire::encode(UpstreamAnswer{StatementId(1), static_cast<UpstreamResult>(result), "b", {Term(2), Position(9)}, status}, out);
         const absl::StatusOr<UpstreamAnswer> in = Wire::decode(out);
         ASSERT_TRUE(in.ok());
         EXPECT_EQ(in->result_, static_cast<UpstreamResult>(result));
         EXPECT_EQ(in->status_, status);
     }
-    const std::vector<ControlBody> calls{ Probe{}, Fence{ Term(4) }, Promote{ Term(4) }, Follow{ MemberId("a"), Term(4) }, TrimKeys{ 17, Term(4) } };
+    const std::vector<ControlBody> calls{Probe{}, Fence{Term(4)}, Promote{Term(4)}, Follow{MemberId("a"), Term(4)}, TrimKeys{17, Term(4)}};
     ASSERT_EQ(calls.size(), std::variant_size_v<ControlBody>);
     for (const ControlBody &call : calls) {
         const v1::ControlRequest request = Wire::encodeControl(MemberId("m"), call);
--- a/test/correctness/StandinGroupObeysUpstream.cpp
+++ b/test/correctness/StandinGroupObeysUpstream.cpp
@@ -8,13 +8,14 @@
 namespace {
 
 constexpr Duration delay = std::chrono::milliseconds(5);
-const IdempotencyKey firstKey{ { 100, 1 }, Sequence(1) };
+const IdempotencyKey firstKey{{100, 1}, Sequence(1)};
 
 /** A group of three with a connection to each member. */
 class StandinGroup : public testing::Test
 {
 protected:
-    StandinGroup() : group_({ .members_ = { MemberId("a"), MemberId("b"), MemberId("c") } }, 1, now_)
+    StandinGroup()
+        : group_({.members_ = {MemberId("a"), MemberId("b"), MemberId("c")}}, 1, now_)
     {
         for (MemberIndex i = 0; i < group_.size(); ++i) {
             group_.connect(i, ReplyTag(i), now_);
@@ -26,7 +27,7 @@
     std::optional<UpstreamAnswer> ask(MemberIndex member, RequestKind kind, Term term, const std::string &body, std::optional<IdempotencyKey> key = {})
     {
         now_ += delay;
-        group_.send(links_[member], { .kind_ = kind, .requiredTerm_ = term, .key_ = key, .body_ = body }, now_);
+        group_.send(links_[member], {.kind_ = kind, .requiredTerm_ = term, .key_ = key, .body_ = body}, now_);
         const std::vector<GroupReply> replies = group_.takeReplies();
         return replies.empty() ? std::nullopt : std::optional(std::get<StatementReply>(replies[0].body_).answer_);
     }
@@ -34,7 +35,7 @@
     ControlResult control(MemberIndex member, ControlBody body)
     {
         now_ += delay;
-        group_.control(member, ReplyTag(0), { ControlId(1), std::move(body) }, now_);
+        group_.control(member, ReplyTag(0), {ControlId(1), std::move(body)}, now_);
         return std::get<ControlReply>(group_.takeReplies().at(0).body_).answer_.result_;
     }
 
@@ -76,17 +77,17 @@
     group_.setCut(0, 1, true, now_);
     group_.setCut(0, 2, true, now_);
     ask(0, RequestKind::Write, Term(1), "put n lost", firstKey);
-    EXPECT_EQ(control(1, Fence{ Term(2) }), ControlResult::Ok);
-    EXPECT_EQ(control(2, Fence{ Term(2) }), ControlResult::Ok);
-    EXPECT_EQ(control(1, Fence{ Term(2) }), ControlResult::Refused);
-    EXPECT_EQ(control(1, Promote{ Term(2) }), ControlResult::Ok);
+    EXPECT_EQ(control(1, Fence{Term(2)}), ControlResult::Ok);
+    EXPECT_EQ(control(2, Fence{Term(2)}), ControlResult::Ok);
+    EXPECT_EQ(control(1, Fence{Term(2)}), ControlResult::Refused);
+    EXPECT_EQ(control(1, Promote{Term(2)}), ControlResult::Ok);
     EXPECT_EQ(ask(0, RequestKind::Write, Term(2), "put n x")->result_, UpstreamResult::WrongTerm);
-    EXPECT_EQ(control(0, Follow{ MemberId("b"), Term(2) }), ControlResult::Ok);
+    EXPECT_EQ(control(0, Follow{MemberId("b"), Term(2)}), ControlResult::Ok);
     EXPECT_EQ(ask(0, RequestKind::Read, Term(0), "get n")->result_, UpstreamResult::WrongTerm) << "not before it has compared logs";
     group_.setCut(0, 1, false, now_);
     group_.advance(now_ + delay);
     EXPECT_EQ(group_.log(0).entries(), group_.log(1).entries());
-    EXPECT_EQ(group_.status(0).termStarts_, (std::vector{ LogPoint{ Term(1), Position(1) }, LogPoint{ Term(2), Position(2) } }));
+    EXPECT_EQ(group_.status(0).termStarts_, (std::vector{LogPoint{Term(1), Position(1)}, LogPoint{Term(2), Position(2)}}));
 }
 
 TEST_F(StandinGroup, aPausedMemberRunsWhatItReceivedWhenItResumes)
@@ -115,7 +116,7 @@
 
 TEST_F(StandinGroup, refusesTrimmedKeys)
 {
-    EXPECT_EQ(control(0, TrimKeys{ 200, Term(1) }), ControlResult::Ok);
+    EXPECT_EQ(control(0, TrimKeys{200, Term(1)}), ControlResult::Ok);
     EXPECT_EQ(ask(0, RequestKind::Write, Term(1), "put n x", firstKey)->result_, UpstreamResult::Trimmed);
     EXPECT_TRUE(group_.log(0).values().empty());
 }
@@ -129,7 +130,7 @@
     group_.connect(0, ReplyTag(0), now_);
     EXPECT_TRUE(std::get<ConnectReply>(group_.takeReplies().back().body_).refused_);
     for (std::uint32_t i = 0; i <= group_.config().slots_.value(); ++i) {
-        group_.send(links_[0], { .kind_ = RequestKind::Read, .body_ = "get n" }, now_);
+        group_.send(links_[0], {.kind_ = RequestKind::Read, .body_ = "get n"}, now_);
     }
     EXPECT_EQ(std::get<StatementReply>(group_.takeReplies().back().body_).answer_.result_, UpstreamResult::Busy);
 }
--- a/test/support/ScriptedProxy.cpp
+++ b/test/support/ScriptedProxy.cpp
@@ -27,8 +27,14 @@
     return configuration;
 }
 
-ScriptedProxy::ScriptedProxy() : state_(makeProxyState({self, {}}, 7)), now_(std::chrono::seconds(100))
-{
+ScriptedProxy::ScriptedProxy(std::vector<VmInfo> others, bool owns)
+    : state_(makeProxyState({self, {}}, 7))
+    , now_(std::chrono::seconds(100))
+    , vms_(std::move(others))
+{
+    VmInfo listed = self;
+    listed.leaving_ = !owns;
+    vms_.insert(vms_.begin(), listed);
     for (const char *member : {"a", "b", "c"}) {
         reports_[MemberId(member)] = freshStatus(std::string(member) == "a");
     }
@@ -100,6 +106,24 @@
     return taken.empty() ? SendStatement{} : taken.front();
 }
 
+std::vector<PeerMessage> ScriptedProxy::takeForwards()
+{
+    return std::exchange(forwards_, {});
+}
+
+PeerMessage ScriptedProxy::takeForward()
+{
+    const std::vector<PeerMessage> taken = takeForwards();
+    EXPECT_EQ(taken.size(), 1U);
+    return taken.empty() ? PeerMessage{} : taken.front();
+}
+
+void ScriptedProxy::answerForward(const PeerMessage &forward, Answer answer)
+{
+    const RequestId id = std::get<ForwardRequest>(forward.body_).id_;
+    feed(PeerReceived{{forward.to_, self.id_, {}, state_.configuration_.version_, ForwardAnswer{id, std::move(answer)}}});
+}
+
 void ScriptedProxy::answer(const SendStatement &sent, UpstreamResult result, LogPoint point, std::string body)
 {
     UpstreamAnswer answer{.id_ = sent.statement_.id_, .result_ = result, .body_ = std::move(body), .point_ = point};
@@ -151,6 +175,10 @@
         closed_.insert(close->connection_);
     } else if (const auto *statement = std::get_if<SendStatement>(&effect)) {
         statements_.push_back(*statement);
+    } else if (const auto *peer = std::get_if<SendPeer>(&effect)) {
+        if (std::holds_alternative<ForwardRequest>(peer->message_.body_)) {
+            forwards_.push_back(peer->message_);
+        }
     } else if (const auto *control = std::get_if<SendControl>(&effect)) {
         answerControl(*control);
     } else if (const auto *call = std::get_if<CallPlatform>(&effect)) {
@@ -176,7 +204,7 @@
     PlatformAnswer answer{.id_ = call.call_.id_, .status_ = PlatformStatus::Unavailable};
     if (std::holds_alternative<ListVms>(call.call_.body_)) {
         answer.status_ = PlatformStatus::Ok;
-        answer.vms_ = {self};
+        answer.vms_ = vms_;
     }
     feed(PlatformAnswered{std::move(answer)});
 }
--- a/test/support/ScriptedProxy.h
+++ b/test/support/ScriptedProxy.h
@@ -16,7 +16,8 @@
 class ScriptedProxy
 {
 public:
-    ScriptedProxy();
+    /** \p others are further VMs; with \p owns false this proxy owns nothing and only enters requests. */
+    explicit ScriptedProxy(std::vector<VmInfo> others = {}, bool owns = true);
 
     /** Feeds \p body at the present time; probes, connections and platform calls among the effects are answered at once from the knobs below. */
     void feed(EventBody body);
@@ -30,6 +31,12 @@
     std::vector<SendStatement> takeStatements();
     /** The only statement sent since the last take; fails the test if there is not exactly one. */
     SendStatement takeStatement();
+    /** Removes and returns the forwarded requests sent to other proxies and not taken yet, oldest first. */
+    std::vector<PeerMessage> takeForwards();
+    /** The only request forwarded since the last take; fails the test if there is not exactly one. */
+    PeerMessage takeForward();
+    /** The proxy that \p forward went to answers it. */
+    void answerForward(const PeerMessage &forward, Answer answer);
     /** The member that \p sent went to answers it. */
     void answer(const SendStatement &sent, UpstreamResult result, LogPoint point = {}, std::string body = {});
     /** Member that a connection leads to. */
@@ -55,6 +62,8 @@
     std::map<ConnectionId, MemberId> connections_;
     std::set<ConnectionId> closed_;
     std::vector<SendStatement> statements_;
+    std::vector<PeerMessage> forwards_;
+    std::vector<VmInfo> vms_;
     std::optional<Time> wakeUp_;
     std::deque<EventBody> pending_;
     bool feeding_ = false;
