World: reducers joined in virtual time by the stand-ins' models, with faults and a readable trace

Cause: golden files of sessions and stateful fuzzing need several proxies, groups and the platform in one repeatable run. Change: test/support/World executes every effect against GroupModel and PlatformModel; cuts hold messages as TCP does, proxies and members pause, die and start again, peer messages are dropped, delayed and doubled, each proxy has a clock of its own, hooks alter events for checks of the oracle. Trace writes events and effects as text. Conclusion: usable for golden files; failover is not exercised yet.

--- /dev/null
+++ b/test/support/World.cpp
@@ -0,0 +1,405 @@
+#include "World.h"
+
+#include "Trace.h"
+
+#include <algorithm>
+
+namespace Figward::Testing {
+
+namespace {
+
+constexpr Duration clockStep = std::chrono::hours(1);
+constexpr Duration waitLimit = std::chrono::seconds(60);
+const ServiceId service("ledger");
+
+std::string memberName(std::size_t group, std::size_t member)
+{
+    return "g" + std::to_string(group) + "m" + std::to_string(member);
+}
+
+ZoneId zoneName(std::size_t zone)
+{
+    return ZoneId("z" + std::to_string(zone));
+}
+
+Configuration makeConfiguration(const WorldConfig &config)
+{
+    Configuration made;
+    made.version_ = ConfigVersion(1);
+    made.policy_ = config.policy_;
+    ServiceConfig &ledger = made.services_[service];
+    ledger.id_ = service;
+    ledger.classes_ = { { ClassId("dispatch"), 0 }, { ClassId("fitment"), 1 }, { ClassId("planner"), 2 } };
+    for (std::size_t i = 0; i < config.groups_; ++i) {
+        const GroupId id = World::groupId(i);
+        ledger.groups_.push_back(id);
+        GroupConfig &group = made.groups_[id];
+        group.id_ = id;
+        group.service_ = service;
+        group.connectionLimit_ = config.group_.connectionLimit_;
+        group.slots_ = config.group_.slots_;
+        for (std::size_t m = 0; m < config.membersPerGroup_; ++m) {
+            group.members_.push_back({ MemberId(memberName(i, m)), zoneName((i + m) % config.zones_), memberName(i, m) + ":1", false });
+        }
+    }
+    return made;
+}
+
+Standin::GroupModelConfig modelConfig(const WorldConfig &config, std::size_t group)
+{
+    Standin::GroupModelConfig made = config.group_;
+    for (std::size_t m = 0; m < config.membersPerGroup_; ++m) {
+        made.members_.emplace_back(memberName(group, m));
+    }
+    return made;
+}
+
+} // namespace
+
+bool World::Later::operator()(const Scheduled &a, const Scheduled &b) const
+{
+    return a.at_ != b.at_ ? a.at_ > b.at_ : a.order_ > b.order_;
+}
+
+World::World(WorldConfig config)
+    : config_(std::move(config)), configuration_(makeConfiguration(config_)), random_(config_.seed_), proxies_(config_.proxies_), linkOwners_(config_.groups_)
+{
+    for (std::size_t i = 0; i < config_.groups_; ++i) {
+        groups_.push_back(std::make_unique<Standin::GroupModel>(modelConfig(config_, i), random_(), now_));
+    }
+    platform_ = std::make_unique<Standin::PlatformModel>(config_.platform_, random_());
+    for (ProxyIndex i = 0; i < proxies_.size(); ++i) {
+        proxies_[i].zone_ = i % config_.zones_;
+        proxies_[i].clockOffset_ = static_cast<int>(i + 1) * clockStep;
+        proxies_[i].vm_ = { VmId(nextVm_++), zoneName(proxies_[i].zone_), "vm" + std::to_string(i) + ":1", false };
+    }
+    publishVms();
+    for (ProxyIndex i = 0; i < proxies_.size(); ++i) {
+        boot(i);
+    }
+}
+
+Time World::now() const
+{
+    return now_;
+}
+
+void World::run(Duration duration)
+{
+    const Time until = now_ + duration;
+    while (!queue_.empty() && queue_.top().at_ <= until) {
+        const Scheduled next = queue_.top();
+        queue_.pop();
+        now_ = std::max(now_, next.at_);
+        next.action_();
+    }
+    now_ = until;
+}
+
+void World::schedule(Time at, std::function<void()> action)
+{
+    queue_.push({ std::max(at, now_), nextOrder_++, std::move(action) });
+}
+
+void World::ask(ProxyIndex proxy, Request request, CallerReply reply)
+{
+    Proxy &asked = proxies_.at(proxy);
+    if (!asked.state_) {
+        schedule(now_, [reply = std::move(reply)] { reply(std::nullopt); });
+        return;
+    }
+    const RequestId id = asked.nextRequest_;
+    asked.nextRequest_ = RequestId(id.value() + 1);
+    asked.callers_[id] = std::move(reply);
+    deliver(proxy, asked.vm_.id_, CallerAsked{ id, std::move(request) });
+}
+
+std::optional<Answer> World::askAndWait(ProxyIndex proxy, Request request)
+{
+    std::optional<Answer> answer;
+    bool ended = false;
+    ask(proxy, std::move(request), [&](const std::optional<Answer> &given) {
+        answer = given;
+        ended = true;
+    });
+    const Time limit = now_ + waitLimit;
+    while (!ended && now_ < limit && !queue_.empty()) {
+        run(std::max(Duration::zero(), queue_.top().at_ - now_));
+    }
+    return answer;
+}
+
+void World::leaveTransaction(ProxyIndex proxy, TransactionId transaction)
+{
+    deliver(proxy, proxies_.at(proxy).vm_.id_, CallerGone{ transaction });
+}
+
+void World::pauseProxy(ProxyIndex proxy)
+{
+    proxies_.at(proxy).paused_ = true;
+}
+
+void World::resumeProxy(ProxyIndex proxy)
+{
+    Proxy &resumed = proxies_.at(proxy);
+    resumed.paused_ = false;
+    const std::vector<EventBody> waiting = std::exchange(resumed.waiting_, {});
+    for (const EventBody &body : waiting) {
+        deliver(proxy, resumed.vm_.id_, body);
+    }
+}
+
+void World::killProxy(ProxyIndex proxy)
+{
+    Proxy &killed = proxies_.at(proxy);
+    if (!killed.state_) {
+        return;
+    }
+    trace(proxy, "is killed");
+    killed.state_.reset();
+    killed.paused_ = false;
+    killed.waiting_.clear();
+    for (auto &[connection, link] : killed.links_) {
+        if (link.link_) {
+            closeLink(link.group_, *link.link_, placeOf(proxy), placeOfMember(link.group_, link.member_));
+        }
+    }
+    killed.links_.clear();
+    for (auto &[id, reply] : std::exchange(killed.callers_, {})) {
+        schedule(now_, [reply = std::move(reply)] { reply(std::nullopt); });
+    }
+    for (ProxyIndex peer = 0; peer < proxies_.size(); ++peer) {
+        if (peer != proxy) {
+            const VmId incarnation = proxies_[peer].vm_.id_;
+            carry(placeOf(proxy), placeOf(peer), [this, peer, incarnation, address = killed.vm_.address_] { deliver(peer, incarnation, PeerLost{ address }); });
+        }
+    }
+}
+
+void World::startProxy(ProxyIndex proxy)
+{
+    Proxy &started = proxies_.at(proxy);
+    if (started.state_) {
+        return;
+    }
+    started.vm_.id_ = VmId(nextVm_++);
+    started.vm_.leaving_ = false;
+    started.exited_ = false;
+    started.paused_ = false;
+    started.clockOffset_ += clockStep;
+    publishVms();
+    boot(proxy);
+}
+
+void World::drainProxy(ProxyIndex proxy)
+{
+    trace(proxy, "is asked to drain");
+    deliver(proxy, proxies_.at(proxy).vm_.id_, DrainAsked{});
+}
+
+void World::publishVms()
+{
+    std::vector<VmInfo> vms;
+    for (const Proxy &proxy : proxies_) {
+        if (proxy.state_ || platform_->counts().lists_ == 0) {
+            vms.push_back(proxy.vm_);
+        }
+    }
+    platform_->setVms(std::move(vms), now_);
+}
+
+void World::applyConfiguration(const Configuration &configuration)
+{
+    configuration_ = configuration;
+    for (ProxyIndex proxy = 0; proxy < proxies_.size(); ++proxy) {
+        if (proxies_[proxy].state_) {
+            Effects effects;
+            adoptConfiguration(*proxies_[proxy].state_, configuration, now_ + proxies_[proxy].clockOffset_, effects);
+            for (const Effect &effect : effects) {
+                execute(proxy, effect);
+            }
+        }
+    }
+}
+
+void World::healAll()
+{
+    zoneCuts_.clear();
+    platformCuts_.clear();
+    peerFaults_ = {};
+    platform_->setFaults({});
+    for (const auto &group : groups_) {
+        for (Standin::MemberIndex a = 0; a < group->size(); ++a) {
+            for (Standin::MemberIndex b = 0; b < group->size(); ++b) {
+                group->setCut(a, b, false, now_);
+                group->setDelay(a, b, config_.group_.replicationDelay_, now_);
+            }
+            group->resume(a, now_);
+            if (!group->isUp(a)) {
+                group->restart(a, now_);
+            }
+        }
+    }
+    releaseHeld();
+    for (std::size_t i = 0; i < groups_.size(); ++i) {
+        pumpGroup(i);
+    }
+    for (ProxyIndex proxy = 0; proxy < proxies_.size(); ++proxy) {
+        resumeProxy(proxy);
+        startProxy(proxy);
+    }
+}
+
+std::size_t World::proxies() const
+{
+    return proxies_.size();
+}
+
+bool World::isUp(ProxyIndex proxy) const
+{
+    return isAlive(proxy) && !proxies_.at(proxy).paused_;
+}
+
+bool World::isAlive(ProxyIndex proxy) const
+{
+    return proxies_.at(proxy).state_ != nullptr;
+}
+
+bool World::hasExited(ProxyIndex proxy) const
+{
+    return proxies_.at(proxy).exited_;
+}
+
+ProxyState &World::state(ProxyIndex proxy)
+{
+    return *proxies_.at(proxy).state_;
+}
+
+std::size_t World::groups() const
+{
+    return groups_.size();
+}
+
+Standin::GroupModel &World::group(std::size_t index)
+{
+    return *groups_.at(index);
+}
+
+Standin::PlatformModel &World::platform()
+{
+    return *platform_;
+}
+
+const Configuration &World::configuration() const
+{
+    return configuration_;
+}
+
+GroupId World::groupId(std::size_t index)
+{
+    return GroupId("g" + std::to_string(index));
+}
+
+Standin::MemberIndex World::primaryOf(std::size_t group) const
+{
+    Standin::MemberIndex primary = 0;
+    Term highest;
+    for (Standin::MemberIndex member = 0; member < groups_.at(group)->size(); ++member) {
+        const MemberStatus status = groups_[group]->status(member);
+        if (status.primary_ && status.log_.term_ > highest) {
+            highest = status.log_.term_;
+            primary = member;
+        }
+    }
+    return primary;
+}
+
+void World::note(const std::string &line)
+{
+    if (trace_ != nullptr) {
+        trace_->push_back(timeText() + " " + line);
+    }
+}
+
+void World::setTrace(std::vector<std::string> *lines)
+{
+    trace_ = lines;
+}
+
+/** Starts a process on \p proxy's VM. */
+void World::boot(ProxyIndex proxy)
+{
+    Proxy &booted = proxies_.at(proxy);
+    std::vector<std::string> seeds;
+    for (const Proxy &other : proxies_) {
+        seeds.push_back(other.vm_.address_);
+    }
+    booted.state_ = std::make_unique<ProxyState>(makeProxyState({ booted.vm_, std::move(seeds) }, random_()));
+    booted.links_.clear();
+    booted.waiting_.clear();
+    deliver(proxy, booted.vm_.id_, Started{});
+    Effects effects;
+    adoptConfiguration(*booted.state_, configuration_, now_ + booted.clockOffset_, effects);
+    for (const Effect &effect : effects) {
+        execute(proxy, effect);
+    }
+}
+
+/** Has \p proxy take \p body at once; while it is paused, when it resumes; not at all if it is another incarnation. */
+void World::deliver(ProxyIndex proxy, VmId incarnation, EventBody body)
+{
+    schedule(now_, [this, proxy, incarnation, body = std::move(body)]() mutable {
+        Proxy &taker = proxies_.at(proxy);
+        if (!taker.state_ || taker.vm_.id_ != incarnation) {
+            return;
+        }
+        if (taker.paused_) {
+            taker.waiting_.push_back(std::move(body));
+            return;
+        }
+        take(proxy, std::move(body));
+    });
+}
+
+void World::take(ProxyIndex proxy, EventBody body)
+{
+    Proxy &taker = proxies_.at(proxy);
+    if (hooks_.beforeEvent_) {
+        hooks_.beforeEvent_(proxy, *taker.state_, body);
+    }
+    const auto *control = std::get_if<ControlAnswered>(&body);
+    const bool probe = control != nullptr && taker.probes_.erase(control->answer_.id_) > 0;
+    if (trace_ != nullptr && !probe) {
+        trace(proxy, describe(body));
+    }
+    Effects effects = reduce(*taker.state_, { now_ + taker.clockOffset_, std::move(body) });
+    if (hooks_.afterEvent_) {
+        hooks_.afterEvent_(proxy, *taker.state_, effects);
+    }
+    for (const Effect &effect : effects) {
+        if (trace_ != nullptr) {
+            trace(proxy, describe(effect));
+        }
+        execute(proxy, effect);
+    }
+}
+
+void World::trace(ProxyIndex proxy, const std::string &line)
+{
+    if (!line.empty()) {
+        note("vm" + std::to_string(proxy) + " " + line);
+    }
+}
+
+/** The present time in milliseconds with three decimals. */
+std::string World::timeText() const
+{
+    constexpr std::int64_t microsPerMilli = 1000;
+    constexpr std::size_t decimals = 3;
+    const std::int64_t micros = now_.time_since_epoch().count();
+    std::string fraction = std::to_string(micros % microsPerMilli);
+    fraction.insert(0, decimals - fraction.size(), '0');
+    return std::to_string(micros / microsPerMilli) + "." + fraction;
+}
+
+} // namespace Figward::Testing
