GroupView: an entry of a term that no later log kept is not contained in one

Cause: contains() took any point below the start of a later term for part of the log, also a point of a term that the log skipped, and points of terms older than the reported starts. A holder that never had an entry could count towards its majority. Change: the point's own term must be among the reported starts, and the point between that start and the next. Conclusion: tokens and majority evidence no longer accept a log that lost the entry.

--- a/src/GroupView.cpp
+++ b/src/GroupView.cpp
@@ -64,15 +64,18 @@
 
 bool contains(const MemberStatus &status, LogPoint point)
 {
-    if (point.term_ > status.log_.term_) {
-        return false;
-    }
-    if (point.term_ == status.log_.term_) {
+    const bool beforeAnyEntry = point.position_ == Position(0);
+    if (beforeAnyEntry || point.term_ == status.log_.term_) {
         return point.position_ <= status.log_.position_;
     }
-    // A later term began above the point only if it was built on a log that had it. Example: with terms starting at 1/1 and 3/8, the point 1/7
-    // is in the log and 1/8 is not: it was in the tail that the primary of term 3 never had.
-    const auto next = std::ranges::find_if(status.termStarts_, [&](const LogPoint &start) { return start.term_ > point.term_; });
+    // The entries of a term reach from its start to the start of the next one. Example: with terms starting at 1/1 and 3/8, the point 1/7 is in
+    // the log; 1/8 is not, it was in the tail that the primary of term 3 never had; 2/7 is not either, though a later term began above its
+    // position: nothing of term 2 was kept. A term older than the reported starts cannot be judged, and counts as absent.
+    const auto start = std::ranges::find(status.termStarts_, point.term_, &LogPoint::term_);
+    if (start == status.termStarts_.end() || point.position_ < start->position_) {
+        return false;
+    }
+    const auto next = std::next(start);
     return next != status.termStarts_.end() && point.position_ < next->position_;
 }
 
--- /dev/null
+++ b/test/error/PrimaryOfALostTermAnswersLate.cpp
@@ -0,0 +1,32 @@
+// A primary of term 2 opens its term at 2/7 and answers a read there, but no other member gets the entry; the primary of term 3 builds on 1/7.
+// The session then reads with the token 2/7. A member of term 3 never had that entry, though its term began above position 7:
+// taken for one that contains it, it would serve the read, and count as a holder, of something that the group has lost.
+#include "GroupView.h"
+
+#include <gtest/gtest.h>
+
+using namespace Figward;
+
+namespace {
+
+MemberStatus statusOfTermThree()
+{
+    return {.log_ = {Term(3), Position(9)}, .fenced_ = Term(3), .termStarts_ = {{Term(1), Position(1)}, {Term(3), Position(8)}}};
+}
+
+} // namespace
+
+TEST(PrimaryOfALostTerm, itsEntriesAreInNoLaterLog)
+{
+    EXPECT_FALSE(contains(statusOfTermThree(), {Term(2), Position(7)}));
+    EXPECT_TRUE(contains(statusOfTermThree(), {Term(1), Position(7)}));
+    EXPECT_FALSE(contains(statusOfTermThree(), {Term(1), Position(8)}));
+    EXPECT_TRUE(contains(statusOfTermThree(), {Term(3), Position(8)}));
+}
+
+TEST(PrimaryOfALostTerm, aTermOlderThanTheReportedStartsCountsAsAbsent)
+{
+    MemberStatus status = statusOfTermThree();
+    status.termStarts_.erase(status.termStarts_.begin());
+    EXPECT_FALSE(contains(status, {Term(1), Position(7)}));
+}
