Owner: doubled messages, trimming of keys, repeatable writes without a key

Cause: a message that arrives twice opened a second transaction or ran a step twice; nobody trimmed keys; a read whose earlier attempt was lost asked to cancel a key it does not have. Change: steps and begins are matched by transaction and attempt; KeyTrim trims sessions beyond the retention; writes marked idempotent need no key. Measured: MessageArrivesTwice failed before (second Begin sent) and passes now.

--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -114,7 +114,7 @@
 
 void onCallerAsked(ProxyState &state, const CallerAsked &event, Time now, Effects &out)
 {
-    const ErrorKind refusal = checkRequest(state, event.request_);
+    const ErrorKind refusal = checkRequest(state, event.request_, now);
     if (refusal != ErrorKind::None) {
         Answer answer = notRun(refusal, retryAdvice(refusal));
         answer.token_ = event.request_.token_;
--- a/src/EntryAttempts.cpp
+++ b/src/EntryAttempts.cpp
@@ -156,7 +156,7 @@
         return;
     }
     asked.lastError_ = ErrorKind::RetryBudgetSpent;
-    if (asked.mayHaveRun_ && asked.request_.key_) {
+    if (asked.mayHaveRun_) {
         cancelKey(state, id, now, out);
         return;
     }
@@ -166,8 +166,12 @@
 void cancelKey(ProxyState &state, RequestId id, Time now, Effects &out)
 {
     EntryRequest &asked = state.entry_.requests_.at(id);
-    asked.cancelling_ = true;
     asked.mayHaveRun_ = true;
+    if (!asked.request_.key_) {
+        concludeFailed(state, id, out); // A read, or a write that may repeat: there is no key that could tell.
+        return;
+    }
+    asked.cancelling_ = true;
     asked.tried_.clear();
     attemptRequest(state, id, now, out);
 }
--- a/src/EntryChecks.cpp
+++ b/src/EntryChecks.cpp
@@ -1,16 +1,26 @@
 #include "EntryChecks.h"
 
+#include "KeyTrim.h"
 #include "ProxyState.h"
 
 namespace Figward {
 
 namespace {
 
+constexpr std::uint64_t clockTolerance = 3600; // Seconds by which a caller's clock may be ahead.
 constexpr Duration soon = std::chrono::milliseconds(100);
 
-bool needsKey(RequestKind kind, bool inTransaction)
+bool needsKey(const Request &request, bool inTransaction)
 {
-    return kind == RequestKind::Commit || (kind == RequestKind::Write && !inTransaction);
+    const bool repeatable = request.idempotent_ && request.kind_ == RequestKind::Write;
+    return request.kind_ == RequestKind::Commit || (request.kind_ == RequestKind::Write && !inTransaction && !repeatable);
+}
+
+/** A session that claims to begin in the future would never grow old enough for its keys to be trimmed. */
+bool startsTooLate(const ProxyState &state, const Request &request, Time now)
+{
+    const std::uint64_t unixNow = unixSeconds(state, now);
+    return unixNow != 0 && request.key_ && request.key_->session_.startedSeconds_ > unixNow + clockTolerance;
 }
 
 ErrorKind checkPlace(const ProxyState &state, const Request &request)
@@ -40,7 +50,7 @@
 
 } // namespace
 
-ErrorKind checkRequest(const ProxyState &state, const Request &request)
+ErrorKind checkRequest(const ProxyState &state, const Request &request, Time now)
 {
     const ErrorKind misplaced = checkPlace(state, request);
     if (misplaced != ErrorKind::None) {
@@ -51,10 +61,10 @@
     if (endsNothing) {
         return ErrorKind::NoSuchTransaction;
     }
-    if (request.kind_ == RequestKind::CancelKey || request.timeout_ <= Duration::zero()) {
+    if (request.kind_ == RequestKind::CancelKey || request.timeout_ <= Duration::zero() || startsTooLate(state, request, now)) {
         return ErrorKind::BadRequest;
     }
-    if (needsKey(request.kind_, step) && !request.key_) {
+    if (needsKey(request, step) && !request.key_) {
         return ErrorKind::MissingKey;
     }
     if (step) {
--- a/src/EntryChecks.h
+++ b/src/EntryChecks.h
@@ -9,8 +9,8 @@
 
 struct ProxyState;
 
-/** Why \p request cannot be taken by this proxy, or None. */
-ErrorKind checkRequest(const ProxyState &state, const Request &request);
+/** Why \p request cannot be taken by this proxy at \p now, or None. */
+ErrorKind checkRequest(const ProxyState &state, const Request &request, Time now);
 /** When a caller refused with \p error should ask again, if that helps at all. */
 std::optional<Duration> retryAdvice(ErrorKind error);
 
--- a/src/Event.h
+++ b/src/Event.h
@@ -15,6 +15,7 @@
 /** First event of a process. */
 struct Started
 {
+    std::uint64_t unixSeconds_ = 0; ///< Wall clock at this event, in seconds since the Unix epoch; zero if not known. Only old keys are judged by it.
 };
 /** The time asked for by ArmWakeUp has come. */
 struct WakeUp
--- a/src/OwnerRequests.cpp
+++ b/src/OwnerRequests.cpp
@@ -54,6 +54,24 @@
     return owner->leaving_ ? ErrorKind::NotOwner : ErrorKind::None;
 }
 
+/**
+ * Whether a message that arrived twice would open a second transaction or run a step a second time. Writes outside transactions have their key for that,
+ * and reads may repeat.
+ */
+bool isRepeated(GroupOwner *owner, const OwnedRequest &owned)
+{
+    if (owner == nullptr || owned.request_.transaction_ == TransactionId(0)) {
+        return false;
+    }
+    const TransactionKey key = transactionKeyOf(owned);
+    const auto transaction = owner->requests_.transactions_.find(key);
+    if (owned.request_.kind_ != RequestKind::Begin) {
+        return transaction != owner->requests_.transactions_.end() && owned.origin_.id_ <= transaction->second.lastStep_;
+    }
+    const bool begins = std::ranges::any_of(owner->requests_.byTicket_, [&](const auto &entry) { return transactionKeyOf(entry.second) == key; });
+    return begins || transaction != owner->requests_.transactions_.end();
+}
+
 bool isRefusedEarly(const GroupOwner &owner, const Request &request, Time now)
 {
     const bool changes = request.kind_ == RequestKind::Write || request.kind_ == RequestKind::Begin;
@@ -144,6 +162,9 @@
     owned.acceptedAt_ = now;
     owned.deadline_ = now + forward.request_.timeout_;
     GroupOwner *owner = findOwner(state, forward.request_.group_);
+    if (isRepeated(owner, owned)) {
+        return;
+    }
     const ErrorKind refusal = checkAcceptable(state, owner, owned);
     if (refusal != ErrorKind::None) {
         refuse(state, owned.origin_, refusal, std::nullopt, out);
@@ -163,6 +184,10 @@
     if (verdict.evicted_) {
         evict(state, *owner, *verdict.evicted_, verdict.retryAfter_, out);
     }
+    const auto transaction = owner->requests_.transactions_.find(transactionKeyOf(owned));
+    if (transaction != owner->requests_.transactions_.end()) {
+        transaction->second.lastStep_ = owned.origin_.id_;
+    }
     state.timers_.arm(owned.deadline_, {TimerTopic::OwnerDeadline, owner->config_.id_, ticket.value()});
     owner->requests_.byTicket_.emplace(ticket, std::move(owned));
     wantDispatch(state, *owner);
--- a/src/OwnerRequests.h
+++ b/src/OwnerRequests.h
@@ -70,7 +70,8 @@
     MemberId member_;
     Term term_;
     Time usedAt_;
-    bool busy_ = false; ///< A step is queued or under way.
+    bool busy_ = false; ///< A step is under way.
+    RequestId lastStep_; ///< The entry's id of the newest step.
 };
 
 /** All requests of one owned group. */
--- a/src/OwnerTransactions.cpp
+++ b/src/OwnerTransactions.cpp
@@ -18,7 +18,7 @@
     PooledConnection &pooled = owner.pool_.connections_.at(connection);
     pooled.pinned_ = true;
     pooled.use_ = ConnectionUse::Pinned;
-    owner.requests_.transactions_[transactionKeyOf(begin)] = {connection, pooled.member_, owner.view_.term_, now, false};
+    owner.requests_.transactions_[transactionKeyOf(begin)] = {.connection_ = connection, .member_ = pooled.member_, .term_ = owner.view_.term_, .usedAt_ = now};
 }
 
 void closeTransaction(GroupOwner &owner, const TransactionKey &key)
--- a/src/ProxyState.h
+++ b/src/ProxyState.h
@@ -8,6 +8,7 @@
 #include "Drain.h"
 #include "Entry.h"
 #include "GroupOwner.h"
+#include "KeyTrim.h"
 #include "Membership.h"
 #include "PlatformClient.h"
 #include "Status.h"
@@ -35,6 +36,7 @@
     ProxyIdentity identity_;
     std::mt19937_64 random_; ///< Seeded by the shell; the only source of randomness.
     TimerService timers_;
+    WallClock wallClock_;
     std::optional<Time> armedAt_; ///< The wake-up that the shell was last asked for.
     Configuration configuration_;
     ConfigurationSyncState sync_;
--- a/src/Reducer.cpp
+++ b/src/Reducer.cpp
@@ -37,12 +37,15 @@
         return onStatusTimer;
     case TimerTopic::Drain:
         return onDrainTimer;
+    case TimerTopic::KeyTrim:
+        return onKeyTrimTimer;
     }
     return nullptr;
 }
 
-void onStarted(ProxyState &state, Time now, Effects &out)
+void onStarted(ProxyState &state, const Started &started, Time now, Effects &out)
 {
+    startKeyTrim(state, started, now);
     startMembership(state, now, out);
     startConfigurationSync(state, now, out);
     startStatus(state, now, out);
@@ -90,7 +93,7 @@
 {
     const Time now = event.now_;
     const Overloaded handle{
-        [&](const Started &) { onStarted(state, now, out); },
+        [&](const Started &body) { onStarted(state, body, now, out); },
         [&](const WakeUp &) { onWakeUp(state, now, out); },
         [&](const CallerAsked &body) { onCallerAsked(state, body, now, out); },
         [&](const CallerGone &body) { onCallerGone(state, body, now, out); },
--- a/src/TimerService.h
+++ b/src/TimerService.h
@@ -26,6 +26,7 @@
     Quota,
     Status,
     Drain,
+    KeyTrim,
 };
 
 /** One armed timer. Timers are not cancelled: a subscriber ignores a tag whose key it no longer knows. */
