--- a/src/ConfigurationText.h
+++ b/src/ConfigurationText.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "Configuration.h"
+#include "TextProblem.h"
 
 #include <absl/types/span.h>
 #include <optional>
@@ -13,28 +14,6 @@
 
 namespace Figward {
 
-/** What is wrong at one place of a text. */
-enum class TextProblemKind {
-    Syntax,
-    UnknownField,
-    MissingField,
-    WrongType,
-    OutOfRange,
-    Duplicate,
-    UnknownName, ///< Refers to a service that the text does not define.
-    Cycle, ///< Services depend on each other in a circle.
-};
-
-/** One mistake in a text, placed. */
-struct TextProblem
-{
-    TextProblemKind kind_ = TextProblemKind::Syntax;
-    unsigned line_ = 0; ///< From 1.
-    unsigned column_ = 0; ///< From 1, in bytes.
-    std::string pointer_; ///< JSON pointer of the place.
-    std::string detail_;
-};
-
 /** A text that was checked: the configuration if and only if there are no problems. */
 struct CheckedConfiguration
 {
