--- a/src/ConfigurationFields.cpp
+++ b/src/ConfigurationFields.cpp
@@ -21,51 +21,43 @@
 constexpr FieldInfo
 number(std::string_view name, std::string_view unit, std::string_view fallback, std::int64_t minimum, std::int64_t maximum, std::string_view meaning)
 {
-    return { name, FieldType::Integer, unit, false, fallback, minimum, maximum, meaning, nullptr };
+    return {name, FieldType::Integer, unit, false, fallback, minimum, maximum, meaning, nullptr};
 }
 
 /** A required field that is no integer. */
 constexpr FieldInfo required(std::string_view name, FieldType type, std::string_view meaning)
 {
-    return { name, type, "", true, "", 0, 0, meaning, nullptr };
+    return {name, type, "", true, "", 0, 0, meaning, nullptr};
 }
 
 constexpr std::array memberFields{
     required("name", FieldType::Name, "Name of the member, unique in the whole configuration."),
     required("zone", FieldType::Name, "Availability zone that the member stands in."),
     required("address", FieldType::Address, "Where the member takes connections, unique in the whole configuration."),
-    FieldInfo{ "leaving",
-               FieldType::Boolean,
-               "",
-               false,
-               "false",
-               0,
-               0,
-               "A leaving member gets no new work; transactions that are open there finish.",
-               nullptr },
+    FieldInfo{"leaving", FieldType::Boolean, "", false, "false", 0, 0, "A leaving member gets no new work; transactions that are open there finish.", nullptr},
 };
 
 constexpr std::array groupFields{
     required("name", FieldType::Name, "Name of the database group, unique in the whole configuration; callers name it in each request."),
-    FieldInfo{ "connection_limit",
-               FieldType::Integer,
-               "connections",
-               true,
-               "",
-               1,
-               maxConnections,
-               "Connections that the group accepts from all proxies together.",
-               nullptr },
-    FieldInfo{ "slots", FieldType::Integer, "statements", true, "", 1, maxSlots, "Statements that the group runs at once.", nullptr },
-    FieldInfo{ "members",
-               FieldType::Objects,
-               "",
-               true,
-               "",
-               minMembers,
-               maxMembers,
-               "The databases of the group: an odd number, or one more while one of them is leaving.",
-               &memberObject },
+    FieldInfo{"connection_limit",
+              FieldType::Integer,
+              "connections",
+              true,
+              "",
+              1,
+              maxConnections,
+              "Connections that the group accepts from all proxies together.",
+              nullptr},
+    FieldInfo{"slots", FieldType::Integer, "statements", true, "", 1, maxSlots, "Statements that the group runs at once.", nullptr},
+    FieldInfo{"members",
+              FieldType::Objects,
+              "",
+              true,
+              "",
+              minMembers,
+              maxMembers,
+              "The databases of the group: an odd number, or one more while one of them is leaving.",
+              &memberObject},
 };
 
 constexpr std::array classFields{
@@ -75,17 +67,17 @@
 
 constexpr std::array serviceFields{
     required("name", FieldType::Name, "Name of the service, unique in the whole configuration; callers name it in each request."),
-    FieldInfo{ "depends_on",
-               FieldType::Names,
-               "",
-               false,
-               "[]",
-               0,
-               maxServices,
-               "Services that this one needs; it is reported as impaired while one of them is.",
-               nullptr },
-    FieldInfo{ "classes", FieldType::Objects, "", false, R"([{"name": "default"}])", 1, maxClasses, "Classes of work of the service's callers.", &classObject },
-    FieldInfo{ "groups", FieldType::Objects, "", true, "", 1, maxGroups, "The database groups of the service.", &groupObject },
+    FieldInfo{"depends_on",
+              FieldType::Names,
+              "",
+              false,
+              "[]",
+              0,
+              maxServices,
+              "Services that this one needs; it is reported as impaired while one of them is.",
+              nullptr},
+    FieldInfo{"classes", FieldType::Objects, "", false, R"([{"name": "default"}])", 1, maxClasses, "Classes of work of the service's callers.", &classObject},
+    FieldInfo{"groups", FieldType::Objects, "", true, "", 1, maxGroups, "The database groups of the service.", &groupObject},
 };
 
 constexpr std::array policyFields{
@@ -108,8 +100,8 @@
 };
 
 constexpr std::array configurationFields{
-    FieldInfo{ "policy", FieldType::Object, "", false, "{}", 0, 0, "Settings that all proxies share.", &policyObject },
-    FieldInfo{ "services", FieldType::Objects, "", true, "", 1, maxServices, "The services.", &serviceObject },
+    FieldInfo{"policy", FieldType::Object, "", false, "{}", 0, 0, "Settings that all proxies share.", &policyObject},
+    FieldInfo{"services", FieldType::Objects, "", true, "", 1, maxServices, "The services.", &serviceObject},
 };
 
 Duration millisField(const JsonNode &node, std::string_view name)
@@ -124,12 +116,12 @@
 
 } // namespace
 
-constinit const ObjectInfo memberObject{ "member", memberFields };
-constinit const ObjectInfo groupObject{ "group", groupFields };
-constinit const ObjectInfo classObject{ "class", classFields };
-constinit const ObjectInfo serviceObject{ "service", serviceFields };
-constinit const ObjectInfo policyObject{ "policy", policyFields };
-constinit const ObjectInfo configurationObject{ "configuration", configurationFields };
+constinit const ObjectInfo memberObject{"member", memberFields};
+constinit const ObjectInfo groupObject{"group", groupFields};
+constinit const ObjectInfo classObject{"class", classFields};
+constinit const ObjectInfo serviceObject{"service", serviceFields};
+constinit const ObjectInfo policyObject{"policy", policyFields};
+constinit const ObjectInfo configurationObject{"configuration", configurationFields};
 
 Policy readPolicy(const JsonNode &node)
 {
--- a/src/ConfigurationRules.cpp
+++ b/src/ConfigurationRules.cpp
@@ -18,7 +18,9 @@
 class UniqueTexts
 {
 public:
-    UniqueTexts(std::string what, TextProblems &problems) : what_(std::move(what)), problems_(problems)
+    UniqueTexts(std::string what, TextProblems &problems)
+        : what_(std::move(what))
+        , problems_(problems)
     {
     }
 
@@ -60,7 +62,8 @@
 class CycleFinder
 {
 public:
-    CycleFinder(const std::vector<Dependencies> &services, TextProblems &problems) : problems_(problems)
+    CycleFinder(const std::vector<Dependencies> &services, TextProblems &problems)
+        : problems_(problems)
     {
         for (const Dependencies &service : services) {
             byName_.emplace(service.name_, &service);
@@ -91,7 +94,7 @@
     void push(const Dependencies &service)
     {
         if (visited_.insert(service.name_).second) {
-            path_.push_back({ &service });
+            path_.push_back({&service});
         }
     }
 
@@ -198,7 +201,10 @@
 struct UniqueInText
 {
     explicit UniqueInText(TextProblems &problems)
-        : services_("service name", problems), groups_("group name", problems), members_("member name", problems), addresses_("member address", problems)
+        : services_("service name", problems)
+        , groups_("group name", problems)
+        , members_("member name", problems)
+        , addresses_("member address", problems)
     {
     }
 
--- a/src/ConfigurationText.cpp
+++ b/src/ConfigurationText.cpp
@@ -46,10 +46,10 @@
 {
     std::vector<WorkClass> classes;
     for (const JsonNode &node : itemsField(service, "classes")) {
-        classes.push_back({ ClassId(textField(node, classObject, "name")), static_cast<unsigned>(integerField(node, classObject, "priority")) });
+        classes.push_back({ClassId(textField(node, classObject, "name")), static_cast<unsigned>(integerField(node, classObject, "priority"))});
     }
     if (classes.empty()) {
-        classes.push_back({ ClassId("default"), 0 });
+        classes.push_back({ClassId("default"), 0});
     }
     std::ranges::stable_sort(classes, {}, &WorkClass::priority_);
     return classes;
@@ -75,7 +75,7 @@
 {
     Configuration configuration;
     const JsonNode *policy = findMember(root, "policy");
-    configuration.policy_ = readPolicy(policy != nullptr ? *policy : JsonNode{ .kind_ = JsonKind::Object });
+    configuration.policy_ = readPolicy(policy != nullptr ? *policy : JsonNode{.kind_ = JsonKind::Object});
     for (const JsonNode &service : itemsField(root, "services")) {
         readService(service, configuration);
     }
@@ -134,7 +134,7 @@
 {
     TextProblems problems(text);
     const std::optional<JsonNode> root = checkTree(text, problems);
-    CheckedConfiguration result{ .configuration_ = std::nullopt, .problems_ = problems.take() };
+    CheckedConfiguration result{.configuration_ = std::nullopt, .problems_ = problems.take()};
     if (result.problems_.empty()) {
         result.configuration_ = readConfiguration(*root);
     }
@@ -150,9 +150,9 @@
         return parts;
     }
     const JsonNode *policy = findMember(*root, "policy");
-    parts.push_back({ std::string(policyPart), policy != nullptr ? canonicalText(*policy) : "{}" });
+    parts.push_back({std::string(policyPart), policy != nullptr ? canonicalText(*policy) : "{}"});
     for (const JsonNode &service : itemsField(*root, "services")) {
-        parts.push_back({ std::string(servicePartPrefix) + textField(service, serviceObject, "name"), canonicalText(service) });
+        parts.push_back({std::string(servicePartPrefix) + textField(service, serviceObject, "name"), canonicalText(service)});
     }
     std::ranges::sort(parts, {}, &ConfigurationPart::name_);
     return parts;
--- a/src/FieldTable.cpp
+++ b/src/FieldTable.cpp
@@ -16,7 +16,7 @@
 
 absl::string_view asAbsl(std::string_view text)
 {
-    return { text.data(), text.size() };
+    return {text.data(), text.size()};
 }
 
 std::string_view toString(JsonKind kind)
--- a/src/JsonDocument.cpp
+++ b/src/JsonDocument.cpp
@@ -100,7 +100,9 @@
 /** Blanks the comments of a copy of the text, so that all offsets stay. */
 struct CommentBlanker : SilentHandler
 {
-    CommentBlanker(std::string_view text, std::string &copy) : text_(text), copy_(copy)
+    CommentBlanker(std::string_view text, std::string &copy)
+        : text_(text)
+        , copy_(copy)
     {
     }
 
@@ -121,7 +123,9 @@
 class TreeBuilder : public SilentHandler
 {
 public:
-    TreeBuilder(std::string_view text, TextProblems &problems) : text_(text), problems_(problems)
+    TreeBuilder(std::string_view text, TextProblems &problems)
+        : text_(text)
+        , problems_(problems)
     {
     }
 
@@ -164,7 +168,7 @@
     bool on_string(json::string_view part, std::size_t, json::error_code &)
     {
         buffer_.append(part.data(), part.size());
-        return add({ .kind_ = JsonKind::Text, .offset_ = openingQuote(), .text_ = std::exchange(buffer_, {}) });
+        return add({.kind_ = JsonKind::Text, .offset_ = openingQuote(), .text_ = std::exchange(buffer_, {})});
     }
     bool on_key_part(json::string_view part, std::size_t, json::error_code &)
     {
@@ -180,23 +184,23 @@
     }
     bool on_int64(std::int64_t value, json::string_view, json::error_code &)
     {
-        return add({ .kind_ = JsonKind::Integer, .offset_ = numberStart(), .integer_ = value });
+        return add({.kind_ = JsonKind::Integer, .offset_ = numberStart(), .integer_ = value});
     }
     bool on_uint64(std::uint64_t value, json::string_view, json::error_code &)
     {
-        return add({ .kind_ = JsonKind::Number, .offset_ = numberStart(), .number_ = static_cast<double>(value) });
+        return add({.kind_ = JsonKind::Number, .offset_ = numberStart(), .number_ = static_cast<double>(value)});
     }
     bool on_double(double value, json::string_view, json::error_code &)
     {
-        return add({ .kind_ = JsonKind::Number, .offset_ = numberStart(), .number_ = value });
+        return add({.kind_ = JsonKind::Number, .offset_ = numberStart(), .number_ = value});
     }
     bool on_bool(bool value, json::error_code &)
     {
-        return add({ .kind_ = JsonKind::Boolean, .offset_ = literalStart(value ? "true" : "false"), .boolean_ = value });
+        return add({.kind_ = JsonKind::Boolean, .offset_ = literalStart(value ? "true" : "false"), .boolean_ = value});
     }
     bool on_null(json::error_code &)
     {
-        return add({ .kind_ = JsonKind::Null, .offset_ = literalStart("null") });
+        return add({.kind_ = JsonKind::Null, .offset_ = literalStart("null")});
     }
     // NOLINTEND(readability-identifier-naming)
 
@@ -212,7 +216,7 @@
 
     bool begin(JsonKind kind)
     {
-        OpenNode opened{ .node_ = { .kind_ = kind, .offset_ = offset_ }, .pointer_ = nextPointer() };
+        OpenNode opened{.node_ = {.kind_ = kind, .offset_ = offset_}, .pointer_ = nextPointer()};
         open_.push_back(std::move(opened));
         return true;
     }
@@ -236,7 +240,7 @@
             parent.node_.items_.push_back(std::move(node));
             return true;
         }
-        parent.node_.members_.push_back({ std::move(parent.key_), parent.keyOffset_, std::move(node) });
+        parent.node_.members_.push_back({std::move(parent.key_), parent.keyOffset_, std::move(node)});
         return true;
     }
 
@@ -332,7 +336,7 @@
 
 SyntaxCheck checkSyntax(std::string_view text)
 {
-    SyntaxCheck check{ .blanked_ = std::string(text) };
+    SyntaxCheck check{.blanked_ = std::string(text)};
     json::basic_parser<CommentBlanker> parser(parseOptions(), text, check.blanked_);
     check.errorOffset_ = parser.write_some(false, text.data(), text.size(), check.error_);
     if (!check.error_ && check.errorOffset_ < text.size()) {
--- a/src/TextProblem.cpp
+++ b/src/TextProblem.cpp
@@ -33,7 +33,8 @@
     return "?";
 }
 
-TextProblems::TextProblems(std::string_view text) : lineStarts_{ 0 }
+TextProblems::TextProblems(std::string_view text)
+    : lineStarts_{0}
 {
     for (std::size_t i = 0; i < text.size(); ++i) {
         if (text[i] == '\n') {
@@ -47,7 +48,7 @@
     const auto next = std::ranges::upper_bound(lineStarts_, offset);
     const auto line = static_cast<unsigned>(next - lineStarts_.begin());
     const auto column = static_cast<unsigned>(offset - *(next - 1) + 1);
-    problems_.push_back({ kind, line, column, std::move(pointer), std::move(detail) });
+    problems_.push_back({kind, line, column, std::move(pointer), std::move(detail)});
 }
 
 bool TextProblems::empty() const
@@ -63,7 +64,7 @@
 
 std::string childPointer(std::string_view pointer, std::string_view key)
 {
-    const std::string escaped = absl::StrReplaceAll(absl::string_view(key.data(), key.size()), { { "~", "~0" }, { "/", "~1" } });
+    const std::string escaped = absl::StrReplaceAll(absl::string_view(key.data(), key.size()), {{"~", "~0"}, {"/", "~1"}});
     return absl::StrCat(absl::string_view(pointer.data(), pointer.size()), "/", escaped);
 }
 
--- a/test/correctness/ConfigurationTextAccepted.cpp
+++ b/test/correctness/ConfigurationTextAccepted.cpp
@@ -1,5 +1,5 @@
 #include "ConfigurationText.h"
-#include "TestFiles.h"
+#include "support/TestFiles.h"
 
 #include <gmock/gmock.h>
 
@@ -26,21 +26,21 @@
 
 TEST(ConfigurationTextAccepted, exampleOfConsorcio)
 {
-    const Configuration configuration = accept(readRepositoryFile("examples/consorcio.json"));
+    const Configuration configuration = accept(Figward::Test::readRepositoryFile("examples/consorcio.json"));
     ASSERT_EQ(configuration.groups_.size(), 3U);
     const GroupConfig &group = configuration.groups_.at(GroupId("tyres-2"));
     EXPECT_EQ(group.service_, ServiceId("tyre-ledger"));
     EXPECT_EQ(group.connectionLimit_, ConnectionCount(35));
     EXPECT_EQ(group.slots_, SlotCount(5));
     ASSERT_EQ(group.members_.size(), 3U);
-    EXPECT_EQ(group.members_[1], (MemberConfig{ MemberId("tyres-2b"), ZoneId("norte-b"), "10.1.2.12:5432", false }));
+    EXPECT_EQ(group.members_[1], (MemberConfig{MemberId("tyres-2b"), ZoneId("norte-b"), "10.1.2.12:5432", false}));
     EXPECT_EQ(configuration.services_.at(ServiceId("tyre-ledger")).classes_.front().id_, ClassId("dispatch"));
     EXPECT_EQ(configuration.policy_.missedProbes_, 2U);
 }
 
 TEST(ConfigurationTextAccepted, exampleOfMagnolia)
 {
-    const Configuration configuration = accept(readRepositoryFile("examples/magnolia.json"));
+    const Configuration configuration = accept(Figward::Test::readRepositoryFile("examples/magnolia.json"));
     ASSERT_EQ(configuration.groups_.size(), 3U);
     EXPECT_EQ(configuration.groups_.at(GroupId("valuation-3")).connectionLimit_, ConnectionCount(55));
 }
@@ -76,7 +76,7 @@
 
 TEST(ConfigurationTextAccepted, partsFollowServicesAndJoinAgain)
 {
-    const std::string text = readRepositoryFile("examples/consorcio.json");
+    const std::string text = Figward::Test::readRepositoryFile("examples/consorcio.json");
     const std::vector<ConfigurationPart> parts = splitConfiguration(text);
     EXPECT_THAT(parts, ElementsAre(Field(&ConfigurationPart::name_, "policy"), Field(&ConfigurationPart::name_, "service/tyre-ledger")));
     EXPECT_EQ(parts[0].text_, R"({"missed_probes":2})");
--- a/test/TestFiles.h
+++ b/test/support/TestFiles.h
@@ -8,7 +8,7 @@
 #include <stdexcept>
 #include <string>
 
-namespace Figward {
+namespace Figward::Test {
 
 /** Contents of the file at \p path, relative to the root of the repository. */
 inline std::string readRepositoryFile(const std::string &path)
@@ -17,7 +17,7 @@
     if (!in) {
         throw std::runtime_error("cannot read " + path);
     }
-    return { std::istreambuf_iterator<char>(in), {} };
+    return {std::istreambuf_iterator<char>(in), {}};
 }
 
-} // namespace Figward
+} // namespace Figward::Test
