--- a/test/correctness/OldKeysAreTrimmed.cpp
+++ b/test/correctness/OldKeysAreTrimmed.cpp
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr std::uint64_t wallClock = 2'000'000'000;
+constexpr std::uint64_t secondsPerDay = 86400;
+constexpr std::uint64_t secondsPerTrimRound = 660;
+constexpr std::uint64_t twoHours = 7200;
 
 /** Trims sent so far. */
 std::vector<TrimKeys> trims(const ScriptedProxy &proxy)
@@ -30,9 +33,9 @@
     proxy.state_.wallClock_ = {proxy.now_, wallClock};
     proxy.pass(std::chrono::minutes(11));
     ASSERT_FALSE(trims(proxy).empty());
-    const std::uint64_t dayAgo = wallClock - 24 * 3600;
+    const std::uint64_t dayAgo = wallClock - secondsPerDay;
     EXPECT_GE(trims(proxy).front().sessionsBefore_, dayAgo);
-    EXPECT_LE(trims(proxy).front().sessionsBefore_, dayAgo + 11 * 60);
+    EXPECT_LE(trims(proxy).front().sessionsBefore_, dayAgo + secondsPerTrimRound);
     EXPECT_EQ(trims(proxy).front().requiredTerm_, Term(1));
 }
 
@@ -51,7 +54,7 @@
     ScriptedProxy proxy;
     proxy.state_.wallClock_ = {proxy.now_, wallClock};
     Request write = ScriptedProxy::write(1, "put k v");
-    write.key_->session_.startedSeconds_ = wallClock + 2 * 3600;
+    write.key_->session_.startedSeconds_ = wallClock + twoHours;
     const RequestId id = proxy.ask(write);
     ASSERT_EQ(proxy.answersTo(id).size(), 1U);
     EXPECT_EQ(proxy.answersTo(id).front().error_, ErrorKind::BadRequest);
