--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -110,6 +110,24 @@
     }
 }
 
+/**
+ * Takes the answer to an attempt that was given up. "Done" and a tombstone are true for good, whichever attempt brought them; a refusal is true only of that
+ * attempt.
+ */
+void takeLateAnswer(ProxyState &state, RequestId id, Answer answer, Effects &out)
+{
+    const EntryRequest &asked = state.entry_.requests_.at(id);
+    const bool bound = asked.request_.kind_ == RequestKind::Begin || isTransactionStep(asked.request_);
+    const bool settled = answer.outcome_ == Outcome::Done || answer.error_ == ErrorKind::KeyCancelled;
+    if (bound || !settled) {
+        return;
+    }
+    if (answer.error_ == ErrorKind::KeyCancelled) {
+        answer.error_ = asked.lastError_;
+    }
+    concludeRequest(state, id, std::move(answer), out);
+}
+
 } // namespace
 
 void onCallerAsked(ProxyState &state, const CallerAsked &event, Time now, Effects &out)
@@ -156,12 +174,17 @@
     if (attempt == state.entry_.attempts_.end()) {
         return;
     }
-    const RequestId id = attempt->second;
+    const RequestId id = attempt->second.request_;
     EntryRequest &asked = state.entry_.requests_.at(id);
-    if (message.from_ != asked.owner_.id_) {
+    if (message.from_ != attempt->second.owner_) {
+        return;
+    }
+    const bool present = asked.attempting_ && answer.id_ == asked.attempt_;
+    if (!present) {
+        takeLateAnswer(state, id, answer.answer_, out);
         return;
     }
-    endAttempt(state, asked);
+    asked.attempting_ = false;
     state.entry_.avoided_.erase(asked.owner_.address_);
     if (asked.cancelling_) {
         takeCancelAnswer(state, id, answer.answer_, now, out);
--- a/src/Entry.h
+++ b/src/Entry.h
@@ -25,7 +25,8 @@
     Time attemptEnds_; ///< When the present attempt is given up for the next owner.
     std::vector<VmId> tried_; ///< Owners tried in the present round.
     VmInfo owner_; ///< That has the present attempt.
-    RequestId attempt_; ///< Id of the present attempt in the message to the owner.
+    RequestId attempt_; ///< Id of the newest attempt in the message to the owner.
+    std::vector<RequestId> attempts_; ///< All attempts, oldest first.
     TransactionId beginning_; ///< The transaction that a Begin opens.
     bool attempting_ = false; ///< An owner has it; otherwise it waits for the next attempt.
     bool mayHaveRun_ = false; ///< An attempt ended without proof that it did not run.
@@ -33,6 +34,13 @@
     ErrorKind lastError_ = ErrorKind::NoOwner; ///< Why the last attempt failed.
 };
 
+/** One attempt: a request sent to one owner. */
+struct EntryAttempt
+{
+    RequestId request_;
+    VmId owner_;
+};
+
 /** An open transaction: all its steps go to one owner. */
 struct EntryTransaction
 {
@@ -45,7 +53,7 @@
 struct EntryState
 {
     std::map<RequestId, EntryRequest> requests_;
-    std::map<RequestId, RequestId> attempts_; ///< Attempts under way, with the requests they are for.
+    std::map<RequestId, EntryAttempt> attempts_; ///< All attempts of requests_, by their ids; the newest is EntryRequest::attempt_.
     std::map<TransactionId, EntryTransaction> transactions_;
     std::map<std::string, Time> avoided_; ///< Addresses that could not be reached, until when they are tried last.
     RetryBudget budget_;
@@ -53,7 +61,7 @@
 
 void onCallerAsked(ProxyState &state, const CallerAsked &event, Time now, Effects &out);
 void onCallerGone(ProxyState &state, const CallerGone &event, Time now, Effects &out);
-/** An owner answered. Answers of attempts that were given up are dropped. */
+/** An owner answered. Of attempts that were given up, only an answer that settles the request for good is taken. */
 void onForwardAnswer(ProxyState &state, const PeerMessage &message, const ForwardAnswer &answer, Time now, Effects &out);
 void onPeerLost(ProxyState &state, const PeerLost &event, Time now, Effects &out);
 /** Subscriber of EntryDeadline. */
--- a/src/EntryAttempts.cpp
+++ b/src/EntryAttempts.cpp
@@ -82,7 +82,8 @@
     asked.attempting_ = true;
     asked.attempt_ = RequestId(takeId(state));
     asked.attemptEnds_ = now + allowed;
-    state.entry_.attempts_[asked.attempt_] = id;
+    asked.attempts_.push_back(asked.attempt_);
+    state.entry_.attempts_[asked.attempt_] = {id, owner.id_};
     state.timers_.arm(asked.attemptEnds_, {TimerTopic::EntryDeadline, {}, id.value()});
     sendPeer(state, owner, ForwardRequest{asked.attempt_, attemptedRequest(asked, allowed)}, out);
 }
@@ -99,7 +100,7 @@
 {
     EntryRequest &asked = state.entry_.requests_.at(id);
     const VmInfo owner = asked.owner_;
-    endAttempt(state, asked);
+    asked.attempting_ = false;
     const bool commit = asked.request_.kind_ == RequestKind::Commit;
     if (isTransactionStep(asked.request_) && !asked.cancelling_) {
         endEntryTransaction(state, asked.request_.transaction_, !commit, out);
@@ -176,17 +177,13 @@
     attemptRequest(state, id, now, out);
 }
 
-void endAttempt(ProxyState &state, EntryRequest &asked)
-{
-    state.entry_.attempts_.erase(asked.attempt_);
-    asked.attempting_ = false;
-}
-
 void concludeRequest(ProxyState &state, RequestId id, Answer answer, Effects &out)
 {
     const auto found = state.entry_.requests_.find(id);
     EntryRequest &asked = found->second;
-    endAttempt(state, asked);
+    for (const RequestId attempt : asked.attempts_) {
+        state.entry_.attempts_.erase(attempt);
+    }
     const auto transaction = state.entry_.transactions_.find(asked.request_.transaction_);
     if (transaction != state.entry_.transactions_.end()) {
         transaction->second.busy_ = false;
--- a/src/EntryAttempts.h
+++ b/src/EntryAttempts.h
@@ -15,8 +15,6 @@
 void retryRequest(ProxyState &state, RequestId id, Time now, Effects &out);
 /** Stops trying to run the request and asks for its outcome by cancelling its key instead. */
 void cancelKey(ProxyState &state, RequestId id, Time now, Effects &out);
-/** The present attempt is over; a late answer to it is dropped. */
-void endAttempt(ProxyState &state, EntryRequest &asked);
 /** Gives the caller its one answer and forgets the request. */
 void concludeRequest(ProxyState &state, RequestId id, Answer answer, Effects &out);
 /** Concludes with what is known: not run if no attempt can have run it, unknown otherwise. */
--- a/test/correctness/ReadsPreferReplicas.cpp
+++ b/test/correctness/ReadsPreferReplicas.cpp
@@ -3,7 +3,7 @@
 #include <gtest/gtest.h>
 
 using namespace Figward;
-using Figward::Test::ScriptedProxy;
+using Figward::Testing::ScriptedProxy;
 
 namespace {
 
--- a/test/error/BeginAnsweredAfterCallerLeft.cpp
+++ b/test/error/BeginAnsweredAfterCallerLeft.cpp
@@ -5,7 +5,7 @@
 #include <gtest/gtest.h>
 
 using namespace Figward;
-using Figward::Test::ScriptedProxy;
+using Figward::Testing::ScriptedProxy;
 
 TEST(BeginAnsweredAfterCallerLeft, connectionIsClosedNotShared)
 {
--- a/test/error/OwnerFallsSilentAfterWrite.cpp
+++ b/test/error/OwnerFallsSilentAfterWrite.cpp
@@ -6,7 +6,7 @@
 #include <gtest/gtest.h>
 
 using namespace Figward;
-using Figward::Test::ScriptedProxy;
+using Figward::Testing::ScriptedProxy;
 
 namespace {
 
@@ -43,6 +43,21 @@
     EXPECT_EQ(proxy.answersTo(id).front().body_, "v2");
 }
 
+TEST(OwnerFallsSilentAfterWrite, lateAnswerOfTheFirstOwnerCounts)
+{
+    ScriptedProxy proxy(others, false);
+    const RequestId id = proxy.ask(ScriptedProxy::write(7, "put k v"));
+    const PeerMessage first = proxy.takeForward();
+    proxy.pass(std::chrono::milliseconds(510));
+    const PeerMessage second = proxy.takeForward();
+    proxy.answerForward(first, notRun(ErrorKind::NoPrimary));
+    EXPECT_TRUE(proxy.answersTo(id).empty()) << "a refusal by one owner says nothing about the other";
+    proxy.answerForward(first, done("v1"));
+    proxy.answerForward(second, done("v2"));
+    ASSERT_EQ(proxy.answersTo(id).size(), 1U);
+    EXPECT_EQ(proxy.answersTo(id).front().body_, "v1");
+}
+
 TEST(OwnerFallsSilentAfterWrite, refusalByTheNextOwnerProvesNothing)
 {
     ScriptedProxy proxy(others, false);
--- a/test/support/ScriptedProxy.cpp
+++ b/test/support/ScriptedProxy.cpp
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 
-namespace Figward::Test {
+namespace Figward::Testing {
 
 namespace {
 
@@ -209,4 +209,4 @@
     feed(PlatformAnswered{std::move(answer)});
 }
 
-} // namespace Figward::Test
+} // namespace Figward::Testing
--- a/test/support/ScriptedProxy.h
+++ b/test/support/ScriptedProxy.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace Figward::Test {
+namespace Figward::Testing {
 
 /** One proxy and one group "g" with members "a", "b", "c" in zones "z1" to "z3"; "a" is primary of term 1 at position 1. */
 class ScriptedProxy
@@ -73,4 +73,4 @@
 /** A configuration with service "s" that has the group described at ScriptedProxy. */
 Configuration smallConfiguration();
 
-} // namespace Figward::Test
+} // namespace Figward::Testing
