--- a/src/CircuitBreaker.cpp
+++ b/src/CircuitBreaker.cpp
@@ -1,14 +1,13 @@
 #include "CircuitBreaker.h"
 
-#include <algorithm>
+#include "Backoff.h"
 
 namespace Figward {
 
 namespace {
 
 constexpr unsigned failuresToOpen = 3;
-constexpr Duration firstBackoff = std::chrono::milliseconds(50);
-constexpr unsigned maxDoublings = 6; // 3.2 s at most: a member that returns is in use again within seconds.
+constexpr Backoff openBackoff{std::chrono::milliseconds(50), 6}; // 3.2 s at most: a member that returns is in use again within seconds.
 
 } // namespace
 
@@ -23,11 +22,7 @@
     if (circuit.failures_ < failuresToOpen) {
         return;
     }
-    const unsigned doublings = std::min(circuit.failures_ - failuresToOpen, maxDoublings);
-    const std::int64_t backoff = firstBackoff.count() << doublings;
-    // Half of the backoff is random, so that proxies which failed together do not return together.
-    const auto jitter = static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(backoff / 2 + 1));
-    circuit.opensUntil_ = now + Duration(backoff / 2 + jitter);
+    circuit.opensUntil_ = now + backoffDelay(openBackoff, circuit.failures_ - failuresToOpen, random);
 }
 
 void noteSuccess(CircuitBreaker &circuit)
--- /dev/null
+++ b/src/Fencing.cpp
@@ -0,0 +1,154 @@
+#include "Fencing.h"
+
+#include "Backoff.h"
+#include "ProxyState.h"
+
+#include <algorithm>
+
+namespace Figward {
+
+namespace {
+
+constexpr Duration attemptLife = std::chrono::milliseconds(1500);
+constexpr Duration stragglerWait = std::chrono::milliseconds(20); // For members beyond the majority that answered their last probe.
+constexpr Backoff attemptBackoff{std::chrono::milliseconds(200), 3};
+
+std::string_view toString(AbandonReason reason)
+{
+    switch (reason) {
+    case AbandonReason::Overtaken:
+        return "overtaken";
+    case AbandonReason::TimedOut:
+        return "timed-out";
+    case AbandonReason::Refused:
+        return "refused";
+    case AbandonReason::NoAnswer:
+        return "no-answer";
+    }
+    return "";
+}
+
+bool isFenced(const FencingAttempt &attempt, const MemberView &member)
+{
+    return attempt.fenced_.contains(member.config_.id_);
+}
+
+/** Whether a member that may have a longer log is likely to answer soon. */
+bool expectsMore(const GroupOwner &owner)
+{
+    const FencingAttempt &attempt = *owner.failover_.attempt_;
+    return std::ranges::any_of(owner.view_.members_, [&](const MemberView &m) { return m.missedProbes_ == 0 && !isFenced(attempt, m); });
+}
+
+void promoteWhenReady(ProxyState &state, GroupOwner &owner, Time now, Effects &out)
+{
+    FencingAttempt &attempt = *owner.failover_.attempt_;
+    if (attempt.chosen_ || attempt.fenced_.size() < majorityOf(owner.view_)) {
+        return;
+    }
+    if (!attempt.majorityAt_) {
+        attempt.majorityAt_ = now;
+    }
+    const Time enough = *attempt.majorityAt_ + stragglerWait;
+    if (expectsMore(owner) && now < enough) {
+        wakeFailover(state, owner, enough);
+        return;
+    }
+    attempt.chosen_ = chooseSuccessor(owner.view_, attempt);
+    promoteChosen(state, owner, now, out);
+}
+
+/** The greatest log; among equals the present primary, which knows its callers already, then the first in the configuration. */
+MemberId greatestLog(const GroupView &view, const FencingAttempt &attempt, bool withLeaving)
+{
+    const MemberView *best = nullptr;
+    for (const MemberView &member : view.members_) {
+        if (!isFenced(attempt, member) || (member.config_.leaving_ && !withLeaving)) {
+            continue;
+        }
+        const auto worth = [&](const MemberView &m) {
+            return std::tuple(attempt.fenced_.at(m.config_.id_), !m.config_.leaving_, view.primary_ == m.config_.id_);
+        };
+        if (best == nullptr || worth(member) > worth(*best)) {
+            best = &member;
+        }
+    }
+    return best->config_.id_;
+}
+
+} // namespace
+
+void startAttempt(ProxyState &state, GroupOwner &owner, Term term, Time now, Effects &out)
+{
+    owner.failover_.attempt_ = FencingAttempt{term, now};
+    const std::string &group = owner.config_.id_.value();
+    out.push_back(WriteLog{LogNumber::FailoverStarted, {{"group", group}, {"term", std::to_string(term.value())}}});
+    for (const MemberView &member : owner.view_.members_) {
+        sendControl(state, owner, member, Fence{term}, now, out);
+    }
+    wakeFailover(state, owner, now + attemptLife);
+}
+
+void reviewAttempt(ProxyState &state, GroupOwner &owner, Time now, Effects &out)
+{
+    const FencingAttempt &attempt = *owner.failover_.attempt_;
+    if (std::max(owner.view_.term_, highestFence(owner.view_)) > attempt.term_) {
+        abandonAttempt(state, owner, AbandonReason::Overtaken, now, out);
+        return;
+    }
+    const bool promoted = attempt.chosen_ && owner.view_.term_ == attempt.term_ && owner.view_.primary_ == attempt.chosen_;
+    if (promoted) {
+        // A probe was faster than the answer to the promotion, which may be lost.
+        completePromotion(state, owner, now, out);
+        return;
+    }
+    if (now - attempt.startedAt_ >= attemptLife) {
+        // Also after a pause of this process: the others have gone on meanwhile, and what it knows of them is old.
+        abandonAttempt(state, owner, AbandonReason::TimedOut, now, out);
+        return;
+    }
+    wakeFailover(state, owner, attempt.startedAt_ + attemptLife);
+    promoteWhenReady(state, owner, now, out);
+}
+
+void onFenceAnswered(ProxyState &state, GroupOwner &owner, const OutstandingControl &call, const ControlAnswer &answer, Time now, Effects &out)
+{
+    std::optional<FencingAttempt> &attempt = owner.failover_.attempt_;
+    const Term term = std::get<Fence>(call.body_).term_;
+    const MemberView *member = findMember(owner.view_, call.member_);
+    if (!attempt || attempt->term_ != term || member == nullptr || now - attempt->startedAt_ >= attemptLife) {
+        return;
+    }
+    if (answer.result_ == ControlResult::Failed) {
+        const Duration took = now - call.sentAt_;
+        if (!attempt->chosen_ && took >= state.configuration_.policy_.probeTimeout_ / 2) {
+            sendControl(state, owner, *member, Fence{term}, now, out);
+        }
+        return;
+    }
+    // A refusal that names this very term: the fence took effect earlier and its answer was lost. No other owner can have set it.
+    if (answer.status_.fenced_ == term) {
+        attempt->fenced_[call.member_] = answer.status_.log_;
+        promoteWhenReady(state, owner, now, out);
+    }
+}
+
+void abandonAttempt(ProxyState &state, GroupOwner &owner, AbandonReason reason, Time now, Effects &out)
+{
+    FailoverState &failover = owner.failover_;
+    const std::string term = std::to_string(failover.attempt_->term_.value());
+    out.push_back(WriteLog{LogNumber::FailoverAbandoned, {{"group", owner.config_.id_.value()}, {"term", term}, {"reason", std::string(toString(reason))}}});
+    failover.attempt_.reset();
+    failover.retryAt_ = now + backoffDelay(attemptBackoff, failover.failures_++, state.random_);
+    wakeFailover(state, owner, failover.retryAt_);
+}
+
+MemberId chooseSuccessor(const GroupView &view, const FencingAttempt &attempt)
+{
+    const auto stays = [&](const MemberView &member) { return isFenced(attempt, member) && !member.config_.leaving_; };
+    const auto staying = static_cast<std::size_t>(std::ranges::count_if(view.members_, stays));
+    // A majority of members that stay holds every acknowledged write by itself; only then may a longer log of one that leaves be passed over.
+    return greatestLog(view, attempt, staying < majorityOf(view));
+}
+
+} // namespace Figward
--- a/src/GroupView.h
+++ b/src/GroupView.h
@@ -18,6 +18,7 @@
     std::optional<MemberStatus> status_; ///< The newest report.
     Time statusAsOf_; ///< When the call that brought status_ was sent: the member was in this state then or later.
     unsigned missedProbes_ = 0; ///< In a row.
+    Time missedAt_; ///< When the last one was counted.
 };
 
 /** What is known of a group. */
--- a/src/Probing.cpp
+++ b/src/Probing.cpp
@@ -1,44 +1,123 @@
 #include "Probing.h"
 
 #include "OwnerRequests.h"
+#include "Promotion.h"
 #include "ProxyState.h"
 
+#include <algorithm>
+
 namespace Figward {
 
 namespace {
 
 constexpr Duration pollInterval = std::chrono::milliseconds(1);
+constexpr Duration shortestRoundInterval = std::chrono::milliseconds(10);
+constexpr int roundsPerStaleness = 4; // An age is known to within a round, so a quarter of what is wanted is lost at most.
+constexpr Duration wantedHalfWindow = std::chrono::milliseconds(500);
+constexpr int promotionPatience = 2; // A promotion or a cut of a log takes a member longer than an answer to a probe.
+
+Duration timeoutOf(const Policy &policy, const ControlBody &body)
+{
+    const bool quick = std::holds_alternative<Probe>(body) || std::holds_alternative<Fence>(body);
+    return quick ? policy.probeTimeout_ : promotionPatience * policy.probeTimeout_;
+}
 
 void probe(ProxyState &state, GroupOwner &owner, const MemberView &member, std::uint64_t round, Time now, Effects &out)
 {
-    if (!owner.probes_.outstanding_.insert(member.config_.id_).second) {
+    if (owner.probes_.outstanding_.contains(member.config_.id_)) {
         return;
     }
-    const ControlId id(takeId(state));
-    state.controls_[id] = {owner.config_.id_, member.config_.id_, now, round};
-    out.push_back(SendControl{member.config_.id_, member.config_.address_, state.configuration_.policy_.probeTimeout_, {id, Probe{}}});
+    const ControlId id = sendControl(state, owner, member, Probe{}, now, out);
+    state.controls_.at(id).round_ = round;
+    owner.probes_.outstanding_[member.config_.id_] = id;
 }
 
-void probeRound(ProxyState &state, GroupOwner &owner, Time now, Effects &out)
+void armRound(ProxyState &state, GroupOwner &owner, Time at)
 {
-    const std::uint64_t round = takeId(state);
-    openAgeRound(owner.ages_, round, now);
+    owner.probes_.nextRoundAt_ = at;
+    state.timers_.arm(at, {TimerTopic::ProbeRound, owner.config_.id_, 0});
+}
+
+void onRoundDue(ProxyState &state, GroupOwner &owner, Time now, Effects &out)
+{
+    if (now < owner.probes_.nextRoundAt_) {
+        return; // Armed before the interval became shorter; another timer is armed.
+    }
+    probeRound(state, owner, now, out);
+    tendFailover(state, owner, now, out);
+    armRound(state, owner, now + probeRoundInterval(state, owner, now));
+}
+
+/** Whether some request still waits for a replica's position. */
+bool isPollWanted(const GroupOwner &owner)
+{
+    return owner.probes_.pollWanted_ || !owner.requests_.majority_.waiting_.empty();
+}
+
+/** Positions of the primary come with its answers; while it is not known, each member may be it. */
+void onPollDue(ProxyState &state, GroupOwner &owner, Time now, Effects &out)
+{
+    ProbeState &probes = owner.probes_;
+    probes.pollArmed_ = false;
+    if (!isPollWanted(owner)) {
+        return;
+    }
+    probes.pollWanted_ = false;
     for (const MemberView &member : owner.view_.members_) {
-        probe(state, owner, member, round, now, out);
+        if (owner.view_.primary_ != member.config_.id_) {
+            probe(state, owner, member, 0, now, out);
+        }
+    }
+    probes.pollArmed_ = true;
+    state.timers_.arm(now + pollInterval, {TimerTopic::PositionPoll, owner.config_.id_, 0});
+}
+
+/** A position that did not yet do is asked for again at once: waiting for the next poll would add up to its interval to each write. */
+void pollOn(ProxyState &state, GroupOwner &owner, const OutstandingControl &call, Time now, Effects &out)
+{
+    const MemberView *member = findMember(owner.view_, call.member_);
+    const bool replica = member != nullptr && owner.view_.primary_ != call.member_;
+    if (replica && isPollWanted(owner) && now - call.sentAt_ >= pollInterval) {
+        probe(state, owner, *member, 0, now, out);
     }
 }
 
-/** A member that calls itself primary of a term as high as any known is the primary. */
-void learnPrimary(ProxyState &state, GroupOwner &owner, const MemberId &member, const MemberStatus &status, Time now, Effects &out)
+/**
+ * Counts a probe that brought no answer. Polls of a member whose connection is refused fail within a millisecond; without the least time between two that
+ * count, a pause of three milliseconds would look like a lost member.
+ */
+void noteMissedProbe(ProxyState &state, GroupOwner &owner, MemberView &member, const OutstandingControl &call, Time now, Effects &out)
 {
-    const bool newer = status.primary_ && status.log_.term_ >= owner.view_.term_;
-    const bool known = owner.view_.primary_ == member && owner.view_.term_ == status.log_.term_;
-    if (!newer || known || status.fenced_ > status.log_.term_) {
+    const Policy &policy = state.configuration_.policy_;
+    const bool counts = member.missedProbes_ == 0 || now - member.missedAt_ >= policy.probeTimeout_ * 9 / 10;
+    if (!counts) {
         return;
     }
-    owner.view_.term_ = status.log_.term_;
-    owner.view_.primary_ = member;
-    onPrimaryChanged(state, owner, now, out);
+    ++member.missedProbes_;
+    member.missedAt_ = now;
+    const bool timedOut = now - call.sentAt_ >= policy.probeTimeout_ / 2;
+    if (timedOut && member.missedProbes_ < policy.missedProbes_) {
+        probe(state, owner, member, 0, now, out);
+    }
+}
+
+void takeAnswer(GroupOwner &owner, MemberView &member, const OutstandingControl &call, const ControlAnswer &answer)
+{
+    member.missedProbes_ = 0;
+    noteStatus(owner.view_, call.member_, answer.status_, call.sentAt_);
+    noteAgeAnswer(owner.ages_, owner.view_, call.round_, call.member_, answer.status_);
+}
+
+/** Hands the end of a call to the step that made it. */
+void handOn(ProxyState &state, GroupOwner &owner, const OutstandingControl &call, const ControlAnswer &answer, Time now, Effects &out)
+{
+    if (std::holds_alternative<Probe>(call.body_)) {
+        answerPendingWord(state, owner, answer, out);
+    } else if (std::holds_alternative<Fence>(call.body_)) {
+        onFenceAnswered(state, owner, call, answer, now, out);
+    } else if (std::holds_alternative<Promote>(call.body_)) {
+        onPromoteAnswered(state, owner, call, answer, now, out);
+    }
 }
 
 } // namespace
@@ -46,11 +125,22 @@
 void startProbing(ProxyState &state, GroupOwner &owner, Time now, Effects &out)
 {
     probeRound(state, owner, now, out);
-    state.timers_.arm(now + state.configuration_.policy_.probeInterval_, {TimerTopic::ProbeRound, owner.config_.id_, 0});
+    armRound(state, owner, now + probeRoundInterval(state, owner, now));
+}
+
+void probeRound(ProxyState &state, GroupOwner &owner, Time now, Effects &out)
+{
+    owner.probes_.lastRoundAt_ = now;
+    const std::uint64_t round = takeId(state);
+    openAgeRound(owner.ages_, round, now);
+    for (const MemberView &member : owner.view_.members_) {
+        probe(state, owner, member, round, now, out);
+    }
 }
 
 void pollPositions(ProxyState &state, GroupOwner &owner, Time now, Effects & /*out*/)
 {
+    owner.probes_.pollWanted_ = true;
     if (owner.probes_.pollArmed_) {
         return;
     }
@@ -58,20 +148,58 @@
     state.timers_.arm(now + pollInterval, {TimerTopic::PositionPoll, owner.config_.id_, 0});
 }
 
+void noteStalenessWanted(ProxyState &state, GroupOwner &owner, Duration maxStaleness, Time now)
+{
+    StalenessWanted &wanted = owner.probes_.wanted_;
+    if (now - wanted.halfSince_ >= wantedHalfWindow) {
+        const bool justBefore = now - wanted.halfSince_ < 2 * wantedHalfWindow;
+        wanted.former_ = justBefore ? wanted.present_ : std::nullopt;
+        wanted.present_.reset();
+        wanted.halfSince_ = now;
+    }
+    wanted.present_ = std::min(wanted.present_.value_or(maxStaleness), maxStaleness);
+    const Time sooner = now + probeRoundInterval(state, owner, now);
+    if (sooner < owner.probes_.nextRoundAt_) {
+        armRound(state, owner, sooner);
+    }
+}
+
+Duration probeRoundInterval(const ProxyState &state, const GroupOwner &owner, Time now)
+{
+    const Policy &policy = state.configuration_.policy_;
+    const bool watchful = owner.failover_.rank_ == 0 || !owner.view_.primary_ || owner.failover_.suspicion_.cause_ != FailoverCause::None;
+    Duration interval = watchful ? policy.probeInterval_ : policy.slowProbeInterval_;
+    const StalenessWanted &wanted = owner.probes_.wanted_;
+    if (now - wanted.halfSince_ >= 2 * wantedHalfWindow) {
+        return interval;
+    }
+    for (const std::optional<Duration> &staleness : {wanted.present_, wanted.former_}) {
+        if (staleness) {
+            interval = std::min(interval, std::max(shortestRoundInterval, *staleness / roundsPerStaleness));
+        }
+    }
+    return interval;
+}
+
+ControlId sendControl(ProxyState &state, const GroupOwner &owner, const MemberView &member, ControlBody body, Time now, Effects &out)
+{
+    const ControlId id(takeId(state));
+    state.controls_[id] = {owner.config_.id_, member.config_.id_, now, 0, body};
+    const Duration timeout = timeoutOf(state.configuration_.policy_, body);
+    out.push_back(SendControl{member.config_.id_, member.config_.address_, timeout, {id, std::move(body)}});
+    return id;
+}
+
 void onProbeTimer(ProxyState &state, const TimerTag &tag, Time now, Effects &out)
 {
     GroupOwner *owner = findOwner(state, tag.group_);
     if (owner == nullptr) {
         return;
     }
-    probeRound(state, *owner, now, out);
     if (tag.topic_ == TimerTopic::ProbeRound) {
-        state.timers_.arm(now + state.configuration_.policy_.probeInterval_, {TimerTopic::ProbeRound, tag.group_, 0});
-        return;
-    }
-    owner->probes_.pollArmed_ = false;
-    if (!owner->requests_.majority_.waiting_.empty()) {
-        pollPositions(state, *owner, now, out);
+        onRoundDue(state, *owner, now, out);
+    } else {
+        onPollDue(state, *owner, now, out);
     }
 }
 
@@ -81,27 +209,28 @@
     if (found == state.controls_.end()) {
         return;
     }
-    const OutstandingControl control = std::move(found->second);
+    const OutstandingControl call = std::move(found->second);
     state.controls_.erase(found);
-    GroupOwner *owner = findOwner(state, control.group_);
+    GroupOwner *owner = findOwner(state, call.group_);
     if (owner == nullptr) {
         return;
     }
-    owner->probes_.outstanding_.erase(control.member_);
-    MemberView *member = findMember(owner->view_, control.member_);
-    if (member == nullptr) {
-        return;
+    const auto probe = owner->probes_.outstanding_.find(call.member_);
+    if (probe != owner->probes_.outstanding_.end() && probe->second == answer.id_) {
+        owner->probes_.outstanding_.erase(probe);
     }
-    if (answer.result_ == ControlResult::Failed) {
-        ++member->missedProbes_;
-    } else {
-        member->missedProbes_ = 0;
-        noteStatus(owner->view_, control.member_, answer.status_, control.sentAt_);
-        learnPrimary(state, *owner, control.member_, answer.status_, now, out);
-        noteAgeAnswer(owner->ages_, owner->view_, control.round_, control.member_, answer.status_);
+    MemberView *member = findMember(owner->view_, call.member_);
+    if (member != nullptr && answer.result_ != ControlResult::Failed) {
+        takeAnswer(*owner, *member, call, answer);
+    } else if (member != nullptr && std::holds_alternative<Probe>(call.body_)) {
+        noteMissedProbe(state, *owner, *member, call, now, out);
     }
+    handOn(state, *owner, call, answer, now, out);
     onGroupViewChanged(state, *owner, now, out);
     reviewPrimary(state, *owner, now, out);
+    if (answer.result_ != ControlResult::Failed && std::holds_alternative<Probe>(call.body_)) {
+        pollOn(state, *owner, call, now, out);
+    }
 }
 
 } // namespace Figward
