--- a/src/OwnerRequests.cpp
+++ b/src/OwnerRequests.cpp
@@ -3,6 +3,7 @@
 #include "OwnerDispatch.h"
 #include "OwnerTransactions.h"
 #include "ProxyState.h"
+#include "SlowStatements.h"
 
 #include <algorithm>
 
@@ -124,29 +125,6 @@
     return tickets;
 }
 
-/** Closes the connections whose answers are overdue, and returns the tickets that were waiting for them. */
-std::vector<Ticket> closeOverdue(ProxyState &state, GroupOwner &owner, Time now, Effects &out)
-{
-    std::vector<StatementId> overdue;
-    for (const auto &[id, sent] : owner.requests_.sent_) {
-        if (now - sent.sentAt_ > state.configuration_.policy_.statementTimeout_) {
-            overdue.push_back(id);
-        }
-    }
-    std::vector<Ticket> waiting;
-    for (const StatementId id : overdue) {
-        const SentStatement sent = owner.requests_.sent_.at(id);
-        owner.requests_.sent_.erase(id);
-        out.push_back(WriteLog{LogNumber::ConnectionOverdue, {{"group", owner.config_.id_.value()}, {"connection", std::to_string(sent.connection_.value())}}});
-        closeConnection(state, owner, sent.connection_, out);
-        const auto owned = owner.requests_.byTicket_.find(sent.ticket_);
-        if (owned != owner.requests_.byTicket_.end() && owned->second.statement_ == id) {
-            waiting.push_back(sent.ticket_);
-        }
-    }
-    return waiting;
-}
-
 bool isIdle(const GroupOwner &owner)
 {
     return owner.requests_.byTicket_.empty() && owner.requests_.transactions_.empty() && owner.requests_.sent_.empty();
@@ -288,9 +266,7 @@
     if (!regular) {
         return;
     }
-    for (const Ticket ticket : closeOverdue(state, *owner, now, out)) {
-        giveUp(state, *owner, ticket, ErrorKind::UpstreamFailed, out);
-    }
+    tendSlowStatements(state, *owner, now, out);
     loseIdleTransactions(state, *owner, now, out);
     tendConnections(state, *owner, now, out);
     if (owner->leaving_ && isIdle(*owner)) {
