Shell: a proxy as a process, stand-ins as servers, a caller's library

Cause: the reducer could be run by tests only. The models of a group and of the platform are served in real time.

--- /dev/null
+++ b/src/GroupStandinServer.h
@@ -0,0 +1,67 @@
+/** \file
+ * Defines a server that lets a model of a database group be used over gRPC, in real time.
+ */
+#pragma once
+
+#include "GroupModel.h"
+#include "Protocol.h"
+#include "StandinCall.h"
+#include "StandinClock.h"
+#include "Transport.h"
+
+#include <functional>
+#include <upstream.grpc.pb.h>
+
+namespace Figward::Standin {
+
+/** Serves all members of one group at one address. */
+class GroupStandinServer : public v1::Upstream::CallbackService
+{
+public:
+    /** A step on the model, such as a fault that is brought about. */
+    using Step = std::function<void(GroupModel &, Time)>;
+
+    GroupStandinServer(GroupModelConfig config, std::uint64_t seed);
+    GroupStandinServer(const GroupStandinServer &) = delete;
+    GroupStandinServer &operator=(const GroupStandinServer &) = delete;
+    ~GroupStandinServer() override;
+
+    /** Unavailable if \p address cannot be bound. */
+    absl::Status start(const std::string &address);
+    [[nodiscard]] const std::string &address() const;
+    /** Runs \p step between calls. */
+    void run(const Step &step);
+
+    grpc::ServerBidiReactor<v1::ConnectionRequest, v1::ConnectionAnswer> *Connect(grpc::CallbackServerContext *context) override;
+    grpc::ServerUnaryReactor *Control(grpc::CallbackServerContext *context, const v1::ControlRequest *request, v1::ControlReply *reply) override;
+
+private:
+    class Connection;
+    struct WaitingControl
+    {
+        StandinCall *call_;
+        v1::ControlReply *reply_;
+    };
+
+    /** The following run on the clock's thread. */
+    void connect(Connection *connection, const MemberId &member);
+    void send(const Connection *connection, const UpstreamStatement &statement);
+    void disconnect(Connection *connection);
+    void control(const v1::ControlRequest &request, WaitingControl waiting);
+    void deliverReplies();
+    void deliver(const ConnectReply &reply);
+    void deliver(const StatementReply &reply);
+    void deliver(const ControlReply &reply);
+    void deliver(const LinkClosed &reply);
+
+    GroupModel model_;
+    std::uint64_t nextTag_ = 1;
+    std::map<ReplyTag, Connection *> connecting_;
+    std::map<LinkId, Connection *> links_;
+    std::map<ReplyTag, WaitingControl> controls_;
+    std::string address_;
+    StandinClock clock_; // Its thread uses all of the above, and is the first to end.
+    ListeningServer server_;
+};
+
+} // namespace Figward::Standin
--- /dev/null
+++ b/src/Metrics.h
@@ -0,0 +1,56 @@
+/** \file
+ * Defines what a proxy counts for its operators, derived from the events that it takes and the effects that come of them.
+ */
+#pragma once
+
+#include "Effect.h"
+#include "Event.h"
+
+#include <absl/status/status.h>
+#include <array>
+#include <memory>
+#include <prometheus/counter.h>
+#include <prometheus/exposer.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+
+namespace Figward {
+
+struct ProxyState;
+
+/** The counters of one proxy. observe() is for one thread; readers may be others. */
+class Metrics
+{
+public:
+    Metrics();
+    /** Serves the metrics at \p address, "host:port". Unavailable if the port cannot be bound. */
+    absl::Status expose(const std::string &address);
+    void observe(const Event &event);
+    void observe(const Effect &effect);
+    /** Takes the gauges from \p state; called now and then, not for each event. */
+    void observe(const ProxyState &state);
+    [[nodiscard]] const prometheus::Registry &registry() const;
+
+private:
+    void observeAnswer(const Answer &answer);
+
+    static constexpr std::size_t outcomes = static_cast<std::size_t>(Outcome::Unknown) + 1;
+    static constexpr std::size_t errors = static_cast<std::size_t>(ErrorKind::NoSuchTransaction) + 1;
+
+    std::shared_ptr<prometheus::Registry> registry_;
+    std::array<prometheus::Counter *, outcomes> requests_{};
+    std::array<prometheus::Counter *, errors> errors_{};
+    std::array<prometheus::Counter *, std::variant_size_v<EventBody>> events_{};
+    prometheus::Counter *replicaReads_;
+    prometheus::Counter *failovers_;
+    prometheus::Counter *peerMessages_;
+    prometheus::Counter *platformCalls_;
+    prometheus::Counter *controlCalls_;
+    prometheus::Gauge *connections_;
+    prometheus::Gauge *queued_;
+    prometheus::Gauge *requestsUnderWay_;
+    prometheus::Gauge *configurationVersion_;
+    std::unique_ptr<prometheus::Exposer> exposer_;
+};
+
+} // namespace Figward
--- a/src/Protocol.h
+++ b/src/Protocol.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+// NOLINTNEXTLINE(readability-identifier-naming): a package of protobuf, whose style is lower case.
 namespace figward::v1 {
 }
 
--- /dev/null
+++ b/src/Transport.cpp
@@ -0,0 +1,108 @@
+#include "Transport.h"
+
+#include <absl/strings/str_cat.h>
+#include <chrono>
+
+namespace Figward {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds firstReconnect(20);
+constexpr milliseconds longestReconnect(500);
+constexpr milliseconds connectTimeout(1000);
+constexpr milliseconds keepaliveInterval(5000);
+constexpr milliseconds keepaliveTimeout(2000);
+constexpr milliseconds shortestPingInterval(1000); // Servers end connections that ping more often.
+
+int asArgument(milliseconds duration)
+{
+    return static_cast<int>(duration.count());
+}
+
+std::string hostOf(const std::string &address)
+{
+    return address.substr(0, address.rfind(':'));
+}
+
+} // namespace
+
+std::shared_ptr<grpc::ChannelCredentials> clientCredentials(const std::optional<TlsMaterial> &tls)
+{
+    if (!tls) {
+        return grpc::InsecureChannelCredentials();
+    }
+    grpc::SslCredentialsOptions options;
+    options.pem_root_certs = tls->rootCertificates_;
+    options.pem_private_key = tls->privateKey_;
+    options.pem_cert_chain = tls->certificateChain_;
+    return grpc::SslCredentials(options);
+}
+
+std::shared_ptr<grpc::ServerCredentials> serverCredentials(const std::optional<TlsMaterial> &tls, ClientCertificate asked)
+{
+    if (!tls) {
+        return grpc::InsecureServerCredentials();
+    }
+    const bool required = asked == ClientCertificate::Required;
+    grpc::SslServerCredentialsOptions options(required ? GRPC_SSL_REQUEST_AND_REQUIRE_CLIENT_CERTIFICATE_AND_VERIFY : GRPC_SSL_DONT_REQUEST_CLIENT_CERTIFICATE);
+    options.pem_root_certs = tls->rootCertificates_;
+    options.pem_key_cert_pairs.push_back({tls->privateKey_, tls->certificateChain_});
+    return grpc::SslServerCredentials(options);
+}
+
+std::shared_ptr<grpc::Channel> openChannel(const std::string &address, const std::shared_ptr<grpc::ChannelCredentials> &credentials)
+{
+    grpc::ChannelArguments arguments;
+    arguments.SetMaxReceiveMessageSize(messageLimit);
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, asArgument(firstReconnect));
+    // Also the time after which an attempt to connect is given up.
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, asArgument(connectTimeout));
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, asArgument(longestReconnect));
+    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, asArgument(keepaliveInterval));
+    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, asArgument(keepaliveTimeout));
+    arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+    // Proxies that share a test process must not share sockets: killing one would not end its connections.
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+    // Addresses are IP numbers from settings; a proxy variable of the environment is not for them.
+    arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+    return grpc::CreateCustomChannel(address, credentials, arguments);
+}
+
+ChannelPool::ChannelPool(std::shared_ptr<grpc::ChannelCredentials> credentials)
+    : credentials_(std::move(credentials))
+{
+}
+
+std::shared_ptr<grpc::Channel> ChannelPool::to(const std::string &address)
+{
+    const std::scoped_lock lock(mutex_);
+    std::shared_ptr<grpc::Channel> &channel = channels_[address];
+    if (!channel) {
+        channel = openChannel(address, credentials_);
+    }
+    return channel;
+}
+
+absl::StatusOr<ListeningServer>
+listen(const std::string &address, const std::shared_ptr<grpc::ServerCredentials> &credentials, grpc::Service &service, int messageLimit)
+{
+    grpc::ServerBuilder builder;
+    int port = 0;
+    builder.AddListeningPort(address, credentials, &port);
+    // With address reuse two processes could share a port, and half of the callers would meet the wrong one.
+    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, asArgument(shortestPingInterval));
+    builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
+    builder.SetMaxReceiveMessageSize(messageLimit);
+    builder.RegisterService(&service);
+    ListeningServer listening{builder.BuildAndStart(), {}};
+    if (!listening.server_ || port == 0) {
+        return absl::UnavailableError(absl::StrCat("cannot listen at ", address));
+    }
+    listening.address_ = absl::StrCat(hostOf(address), ":", port);
+    return listening;
+}
+
+} // namespace Figward
--- a/src/WirePeer.cpp
+++ b/src/WirePeer.cpp
@@ -137,7 +137,7 @@
         return request.status();
     }
     request->token_ = decode(in.seen());
-    return ForwardRequest{ RequestId(in.id()), *std::move(request) };
+    return ForwardRequest{RequestId(in.id()), *std::move(request)};
 }
 
 absl::StatusOr<PeerBody> decodeForwardAnswer(const v1::ForwardAnswer &in)
@@ -147,7 +147,7 @@
         return answer.status();
     }
     answer->token_ = decode(in.seen());
-    return ForwardAnswer{ RequestId(in.id()), *std::move(answer) };
+    return ForwardAnswer{RequestId(in.id()), *std::move(answer)};
 }
 
 PeerBody decodeVmList(const v1::VmListNews &in)
@@ -168,7 +168,7 @@
     if (!lease.ok()) {
         return lease.status();
     }
-    return QuotaLoan{ GroupId(in.group()), in.ask(), in.loan(), ConnectionCount(in.connections()), SlotCount(in.slots()), *lease };
+    return QuotaLoan{GroupId(in.group()), in.ask(), in.loan(), ConnectionCount(in.connections()), SlotCount(in.slots()), *lease};
 }
 
 absl::StatusOr<PeerBody> decodeBody(const v1::PeerMessage &in)
@@ -179,38 +179,38 @@
     case v1::PeerMessage::kForwardAnswer:
         return decodeForwardAnswer(in.forward_answer());
     case v1::PeerMessage::kAbandonTransaction:
-        return AbandonTransaction{ TransactionId(in.abandon_transaction().transaction()) };
+        return AbandonTransaction{TransactionId(in.abandon_transaction().transaction())};
     case v1::PeerMessage::kSuspicionQuery:
-        return SuspicionQuery{ GroupId(in.suspicion_query().group()), Term(in.suspicion_query().term()), MemberId(in.suspicion_query().primary()) };
+        return SuspicionQuery{GroupId(in.suspicion_query().group()), Term(in.suspicion_query().term()), MemberId(in.suspicion_query().primary())};
     case v1::PeerMessage::kSuspicionAnswer:
-        return SuspicionAnswer{ GroupId(in.suspicion_answer().group()), Term(in.suspicion_answer().term()), in.suspicion_answer().primary_seen() };
+        return SuspicionAnswer{GroupId(in.suspicion_answer().group()), Term(in.suspicion_answer().term()), in.suspicion_answer().primary_seen()};
     case v1::PeerMessage::kPrimaryNews:
-        return PrimaryNews{ GroupId(in.primary_news().group()), Term(in.primary_news().term()), MemberId(in.primary_news().primary()) };
+        return PrimaryNews{GroupId(in.primary_news().group()), Term(in.primary_news().term()), MemberId(in.primary_news().primary())};
     case v1::PeerMessage::kHeartbeat:
-        return Heartbeat{ decode(in.heartbeat().sender()), in.heartbeat().wants_vms() };
+        return Heartbeat{decode(in.heartbeat().sender()), in.heartbeat().wants_vms()};
     case v1::PeerMessage::kVmListNews:
         return decodeVmList(in.vm_list_news());
     case v1::PeerMessage::kManifestRequest:
         return ManifestRequest{};
     case v1::PeerMessage::kManifestNews:
-        return ManifestNews{ ConfigVersion(in.manifest_news().version()), in.manifest_news().manifest() };
+        return ManifestNews{ConfigVersion(in.manifest_news().version()), in.manifest_news().manifest()};
     case v1::PeerMessage::kPartsRequest:
-        return PartsRequest{ { in.parts_request().hashes().begin(), in.parts_request().hashes().end() } };
+        return PartsRequest{{in.parts_request().hashes().begin(), in.parts_request().hashes().end()}};
     case v1::PeerMessage::kPartsNews:
-        return PartsNews{ { in.parts_news().parts().begin(), in.parts_news().parts().end() } };
+        return PartsNews{{in.parts_news().parts().begin(), in.parts_news().parts().end()}};
     case v1::PeerMessage::kQuotaRequest:
-        return QuotaRequest{ GroupId(in.quota_request().group()),
-                             in.quota_request().ask(),
-                             ConnectionCount(in.quota_request().connections()),
-                             SlotCount(in.quota_request().slots()) };
+        return QuotaRequest{GroupId(in.quota_request().group()),
+                            in.quota_request().ask(),
+                            ConnectionCount(in.quota_request().connections()),
+                            SlotCount(in.quota_request().slots())};
     case v1::PeerMessage::kQuotaLoan:
         return decodeQuotaLoan(in.quota_loan());
     case v1::PeerMessage::kQuotaReturn:
-        return QuotaReturn{ GroupId(in.quota_return().group()), in.quota_return().loan() };
+        return QuotaReturn{GroupId(in.quota_return().group()), in.quota_return().loan()};
     case v1::PeerMessage::kTermHandover:
-        return TermHandover{ GroupId(in.term_handover().group()), Term(in.term_handover().first_term()), Term(in.term_handover().last_term()) };
+        return TermHandover{GroupId(in.term_handover().group()), Term(in.term_handover().first_term()), Term(in.term_handover().last_term())};
     case v1::PeerMessage::kStatusNews:
-        return StatusNews{ in.status_news().report() };
+        return StatusNews{in.status_news().report()};
     case v1::PeerMessage::BODY_NOT_SET:
         break;
     }
@@ -219,15 +219,13 @@
 
 } // namespace
 
-v1::PeerMessage encodePeer(const PeerMessage &message)
+void encodePeer(const PeerMessage &message, v1::PeerMessage &out)
 {
-    v1::PeerMessage out;
     out.set_from(message.from_.value());
     out.set_to(message.to_.value());
     out.set_from_address(message.fromAddress_);
     out.set_config_version(message.configVersion_.value());
     std::visit([&out](const auto &body) { encodeBody(body, out); }, message.body_);
-    return out;
 }
 
 absl::StatusOr<PeerMessage> decodePeer(const v1::PeerMessage &in)
@@ -236,7 +234,7 @@
     if (!body.ok()) {
         return body.status();
     }
-    return PeerMessage{ VmId(in.from()), VmId(in.to()), in.from_address(), ConfigVersion(in.config_version()), *std::move(body) };
+    return PeerMessage{VmId(in.from()), VmId(in.to()), in.from_address(), ConfigVersion(in.config_version()), *std::move(body)};
 }
 
 } // namespace Figward::Wire
--- a/src/WirePeer.h
+++ b/src/WirePeer.h
@@ -12,7 +12,7 @@
 
 namespace Figward::Wire {
 
-v1::PeerMessage encodePeer(const PeerMessage &message);
+void encodePeer(const PeerMessage &message, v1::PeerMessage &out);
 absl::StatusOr<PeerMessage> decodePeer(const v1::PeerMessage &in);
 
 } // namespace Figward::Wire
--- a/test/correctness/MessagesSurviveTheWire.cpp
+++ b/test/correctness/MessagesSurviveTheWire.cpp
@@ -126,14 +126,17 @@
     ASSERT_EQ(bodies.size(), std::variant_size_v<PeerBody>);
     for (std::size_t kind = 0; kind < bodies.size(); ++kind) {
         ASSERT_EQ(bodies[kind].index(), kind);
-        const v1::PeerMessage sent = Wire::encodePeer({VmId(1), VmId(2), "10.0.0.1:7000", ConfigVersion(6), bodies[kind]});
+        v1::PeerMessage sent;
+        Wire::encodePeer({VmId(1), VmId(2), "10.0.0.1:7000", ConfigVersion(6), bodies[kind]}, sent);
         const absl::StatusOr<PeerMessage> received = Wire::decodePeer(sent);
         ASSERT_TRUE(received.ok()) << kind;
         EXPECT_EQ(received->body_.index(), kind);
         EXPECT_EQ(received->from_, VmId(1));
         EXPECT_EQ(received->to_, VmId(2));
         EXPECT_EQ(received->configVersion_, ConfigVersion(6));
-        EXPECT_EQ(Wire::encodePeer(*received).DebugString(), sent.DebugString());
+        v1::PeerMessage again;
+        Wire::encodePeer(*received, again);
+        EXPECT_EQ(again.DebugString(), sent.DebugString());
     }
 }
 
