Fleet: configuration from apply to every VM, list of VMs, ownership, quota with loans, graceful drain

Cause: configuration, membership, quota and drain were placeholders; a change of the configuration reached nobody, a list of VMs was taken as it came (also an empty one), owners kept the members they began with, and a draining proxy told nobody and exited before late forwards were refused. Change: apply as a state machine (parts by content hash, one conditional update, lost answers resolved by attempt id); watches by two VMs a zone, version numbers on all messages, parts from peers, changes to the next VM in order and two random ones; a fetch that waits hurries when a peer is heard; list polled at a pace that falls with the fleet, changes passed on; quota by rank with reserve, slow rises and short loans; drain with announcement, hand-over of terms and a linger in which late work is still refused. The loans have no test of their own yet; they follow.

--- a/src/Configuration.h
+++ b/src/Configuration.h
@@ -39,6 +39,7 @@
     std::vector<MemberConfig> members_;
     ConnectionCount connectionLimit_; ///< What the group accepts from all proxies together.
     SlotCount slots_; ///< Statements that the group runs at once.
+    bool operator==(const GroupConfig &) const = default;
 };
 
 /** A service: groups with the callers that they serve. */
--- a/src/ConnectionPool.cpp
+++ b/src/ConnectionPool.cpp
@@ -168,6 +168,7 @@
     for (const ConnectionId id : surplus) {
         closeConnection(state, owner, id, out);
     }
+    trimToQuota(state, owner, now, out);
     if (owner.leaving_) {
         return;
     }
--- a/src/Drain.h
+++ b/src/Drain.h
@@ -16,7 +16,9 @@
 struct DrainState
 {
     bool draining_ = false;
+    bool cutting_ = false; ///< The drain timeout has passed: open transactions are rolled back.
     bool exited_ = false;
+    Time mayExitAt_; ///< Refusals are still given until then.
 };
 
 /** Begins the shutdown. */
--- a/src/LogEvents.h
+++ b/src/LogEvents.h
@@ -29,6 +29,9 @@
     ProcessStopped = 102,
     ConfigurationInForce = 201,
     ConfigurationRefused = 202,
+    VmListChanged = 301,
+    OwnershipBegan = 302,
+    OwnershipEnds = 303,
     MemberSuspected = 401,
     FailoverStarted = 402,
     PrimaryPromoted = 403,
@@ -38,6 +41,8 @@
     MemberRejoins = 407,
     RequestUnknown = 501,
     ConnectionOverdue = 502,
+    DrainStarted = 701,
+    DrainCutTransactions = 702,
     UpstreamConnectFailed = 801,
 };
 
--- a/src/Membership.cpp
+++ b/src/Membership.cpp
@@ -1,87 +1,265 @@
 #include "Membership.h"
 
-#include "OwnerDispatch.h"
+#include "Gossip.h"
+#include "Ownership.h"
 #include "ProxyState.h"
 #include "Rendezvous.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace Figward {
 
 namespace {
 
-constexpr Duration listInterval = std::chrono::seconds(2);
+constexpr std::uint64_t pollKey = 0;
+constexpr std::uint64_t heartbeatKey = 1;
+constexpr std::uint64_t seedKey = 2;
 constexpr Duration listTimeout = std::chrono::seconds(1);
+constexpr Duration seedInterval = std::chrono::seconds(1);
+constexpr Duration listLag = std::chrono::seconds(10); // How far the platform's list may be behind what peers say of a VM.
+constexpr Duration tombstoneLife = std::chrono::minutes(10); // Longer than any message is under way.
+constexpr std::size_t smallListShare = 2; // A list that lacks more than half of the VMs known must be confirmed.
 
-void beginOwning(ProxyState &state, const GroupConfig &config, Time now, Effects &out)
+const VmInfo *findIn(const std::vector<VmInfo> &vms, VmId id)
 {
-    GroupOwner &owner = state.owners_[config.id_];
-    owner.config_ = config;
-    owner.view_.members_.clear();
-    for (const MemberConfig &member : config.members_) {
-        owner.view_.members_.push_back({.config_ = member});
+    const auto found = std::ranges::lower_bound(vms, id, {}, &VmInfo::id_);
+    return found == vms.end() || found->id_ != id ? nullptr : &*found;
+}
+
+void poll(ProxyState &state, Time now, Effects &out)
+{
+    callPlatform(state, PlatformUser::Membership, ListVms{}, listTimeout, out);
+    const FleetTuning &tuning = state.membership_.tuning_;
+    const Duration interval = std::max(tuning.shortestPoll_, tuning.pollPerVm_ * static_cast<std::int64_t>(state.membership_.vms_.size()));
+    state.timers_.arm(now + jittered(state, interval), {TimerTopic::Membership, {}, pollKey});
+}
+
+void heartbeat(ProxyState &state, Time now, Effects &out)
+{
+    const FleetTuning &tuning = state.membership_.tuning_;
+    for (const VmInfo &target : gossipTargets(state, tuning.heartbeatFanOut_)) {
+        sendPeer(state, target, ownHeartbeat(state), out);
+    }
+    state.timers_.arm(now + jittered(state, tuning.heartbeatInterval_), {TimerTopic::Membership, {}, heartbeatKey});
+}
+
+/** Asks the seeds for list and configuration until both are known: the platform may be away when a VM starts. */
+void askSeeds(ProxyState &state, Time now, Effects &out)
+{
+    const bool known = state.membership_.vms_.size() > 1 && state.configuration_.version_ != ConfigVersion();
+    if (known || state.drain_.draining_) {
+        return;
+    }
+    const VmInfo &self = state.identity_.self_;
+    for (const std::string &seed : state.identity_.seeds_) {
+        if (seed != self.address_) {
+            const Heartbeat question{.sender_ = self, .wantsVms_ = true};
+            out.push_back(SendPeer{seed, {self.id_, VmId(), self.address_, state.configuration_.version_, question}});
+        }
+    }
+    state.timers_.arm(now + jittered(state, seedInterval), {TimerTopic::Membership, {}, seedKey});
+}
+
+/** What changed from \p before to \p after, both ordered by id. */
+VmListNews differenceOf(const std::vector<VmInfo> &before, const std::vector<VmInfo> &after)
+{
+    VmListNews news;
+    for (const VmInfo &vm : after) {
+        const VmInfo *old = findIn(before, vm.id_);
+        if (old == nullptr || *old != vm) {
+            news.vms_.push_back(vm);
+        }
+    }
+    for (const VmInfo &vm : before) {
+        if (findIn(after, vm.id_) == nullptr) {
+            news.gone_.push_back(vm.id_);
+        }
+    }
+    return news;
+}
+
+/** Takes \p vms as the list, passes on what changed, and reviews who owns what. */
+void adoptList(ProxyState &state, std::vector<VmInfo> vms, Time now, Effects &out)
+{
+    std::ranges::sort(vms, {}, &VmInfo::id_);
+    const auto sameId = [](const VmInfo &a, const VmInfo &b) { return a.id_ == b.id_; };
+    vms.erase(std::unique(vms.begin(), vms.end(), sameId), vms.end());
+    const VmListNews news = differenceOf(state.membership_.vms_, vms);
+    if (news.vms_.empty() && news.gone_.empty()) {
+        return;
+    }
+    for (const VmId id : news.gone_) {
+        state.membership_.gone_[id] = now;
+        state.membership_.introduced_.erase(id);
+    }
+    state.membership_.vms_ = std::move(vms);
+    state.membership_.owners_.clear();
+    out.push_back(WriteLog{
+        LogNumber::VmListChanged,
+        {{"vms", std::to_string(state.membership_.vms_.size())}, {"changed", std::to_string(news.vms_.size())}, {"gone", std::to_string(news.gone_.size())}}});
+    refreshOwnership(state, now, out);
+    spreadNews(state, news, out);
+}
+
+/** Whether the platform's list names so few VMs that it needs a second one to confirm it. */
+bool needsConfirmation(MembershipState &membership, std::size_t listed)
+{
+    const bool small = listed * smallListShare < membership.vms_.size();
+    const bool confirmed = small && membership.smallListSeen_;
+    membership.smallListSeen_ = small;
+    return small && !confirmed;
+}
+
+bool isBuried(const MembershipState &membership, VmId id)
+{
+    return membership.gone_.contains(id);
+}
+
+/** A VM whose removal is so recent that the list may not show it yet. */
+bool isFreshlyGone(const MembershipState &membership, VmId id, Time now)
+{
+    const auto gone = membership.gone_.find(id);
+    return gone != membership.gone_.end() && now - gone->second < listLag;
+}
+
+/** Adds what peers know and the platform's list does not show yet. */
+void addIntroduced(const MembershipState &membership, std::vector<VmInfo> &vms, Time now)
+{
+    for (const auto &[id, at] : membership.introduced_) {
+        const VmInfo *known = findIn(membership.vms_, id);
+        const bool listed = std::ranges::find(vms, id, &VmInfo::id_) != vms.end();
+        if (known != nullptr && !listed && now - at < listLag) {
+            vms.push_back(*known);
+        }
+    }
+}
+
+void forgetOld(MembershipState &membership, Time now)
+{
+    std::erase_if(membership.gone_, [&](const auto &entry) { return now - entry.second > tombstoneLife; });
+    std::erase_if(membership.introduced_, [&](const auto &entry) { return now - entry.second > listLag; });
+}
+
+bool addNews(ProxyState &state, std::vector<VmInfo> &vms, const VmInfo &vm, Time now)
+{
+    const bool own = vm.id_ == state.identity_.self_.id_;
+    if (own || vm.id_ == VmId() || isBuried(state.membership_, vm.id_)) {
+        return false;
+    }
+    const auto known = std::ranges::find(vms, vm.id_, &VmInfo::id_);
+    if (known == vms.end()) {
+        vms.push_back(vm);
+        state.membership_.introduced_[vm.id_] = now;
+        return true;
+    }
+    // An incarnation that leaves never comes back, so that late news cannot undo it.
+    const bool leaves = vm.leaving_ && !known->leaving_;
+    known->leaving_ = known->leaving_ || vm.leaving_;
+    return leaves;
+}
+
+void takeNews(ProxyState &state, const VmListNews &news, Time now, Effects &out)
+{
+    std::vector<VmInfo> vms = state.membership_.vms_;
+    bool changed = false;
+    for (const VmInfo &vm : news.vms_) {
+        changed = addNews(state, vms, vm, now) || changed;
+    }
+    for (const VmId id : news.gone_) {
+        const bool own = id == state.identity_.self_.id_;
+        changed = (!own && std::erase_if(vms, [&](const VmInfo &vm) { return vm.id_ == id; }) > 0) || changed;
+    }
+    if (changed) {
+        adoptList(state, std::move(vms), now, out);
     }
-    startProbing(state, owner, now, out);
-    startFailover(state, owner, now, out);
-    startOwnerRequests(state, owner, now, out);
 }
 
 } // namespace
 
 void startMembership(ProxyState &state, Time now, Effects &out)
 {
-    callPlatform(state, PlatformUser::Membership, ListVms{}, listTimeout, out);
-    state.timers_.arm(now + listInterval, {TimerTopic::Membership, {}, 0});
+    poll(state, now, out);
+    askSeeds(state, now, out);
+    state.timers_.arm(now + jittered(state, state.membership_.tuning_.heartbeatInterval_), {TimerTopic::Membership, {}, heartbeatKey});
 }
 
-void onMembershipTimer(ProxyState &state, const TimerTag & /*tag*/, Time now, Effects &out)
+void onMembershipTimer(ProxyState &state, const TimerTag &tag, Time now, Effects &out)
 {
-    startMembership(state, now, out);
+    switch (tag.key_) {
+    case heartbeatKey:
+        heartbeat(state, now, out);
+        return;
+    case seedKey:
+        askSeeds(state, now, out);
+        return;
+    default:
+        poll(state, now, out);
+        return;
+    }
 }
 
 void onVmListAnswer(ProxyState &state, const PlatformAnswer &answer, Time now, Effects &out)
 {
-    if (answer.status_ != PlatformStatus::Ok) {
+    MembershipState &membership = state.membership_;
+    // An empty list cannot be true, since this proxy runs; taking it would make this proxy the owner of every group.
+    if (answer.status_ != PlatformStatus::Ok || answer.vms_.empty() || needsConfirmation(membership, answer.vms_.size())) {
         return;
     }
-    state.membership_.vms_ = answer.vms_;
-    refreshOwnership(state, now, out);
+    forgetOld(membership, now);
+    std::vector<VmInfo> vms;
+    for (VmInfo vm : answer.vms_) {
+        const bool own = vm.id_ == state.identity_.self_.id_;
+        if (own) {
+            // The platform is about to take this VM away: the others see the same and no longer count it among the owners.
+            state.identity_.self_.leaving_ = state.identity_.self_.leaving_ || vm.leaving_;
+        }
+        if (own || isFreshlyGone(membership, vm.id_, now)) {
+            continue;
+        }
+        const VmInfo *known = findIn(membership.vms_, vm.id_);
+        vm.leaving_ = vm.leaving_ || (known != nullptr && known->leaving_);
+        membership.gone_.erase(vm.id_);
+        vms.push_back(std::move(vm));
+    }
+    addIntroduced(membership, vms, now);
+    vms.push_back(state.identity_.self_);
+    adoptList(state, std::move(vms), now, out);
 }
 
-void onHeartbeat(ProxyState & /*state*/, const PeerMessage & /*message*/, const Heartbeat & /*heartbeat*/, Time /*now*/, Effects & /*out*/)
+void onHeartbeat(ProxyState &state, const PeerMessage &message, const Heartbeat &heartbeat, Time now, Effects &out)
 {
+    takeNews(state, {.vms_ = {heartbeat.sender_}}, now, out);
+    if (heartbeat.wantsVms_) {
+        sendPeer(state, heartbeat.sender_, VmListNews{.vms_ = state.membership_.vms_}, out);
+    } else if (message.configVersion_ < state.configuration_.version_) {
+        // The sender is behind: the answer's version tells it so. It has the lower version, so that it does not answer in turn.
+        sendPeer(state, heartbeat.sender_, ownHeartbeat(state), out);
+    }
 }
 
-void onVmListNews(ProxyState & /*state*/, const PeerMessage & /*message*/, const VmListNews & /*news*/, Time /*now*/, Effects & /*out*/)
+void onVmListNews(ProxyState &state, const PeerMessage & /*message*/, const VmListNews &news, Time now, Effects &out)
 {
+    takeNews(state, news, now, out);
 }
 
-std::vector<VmInfo> ownersOf(const ProxyState &state, const GroupId &group)
+void announceLeaving(ProxyState &state, Time now, Effects &out)
 {
-    return rendezvousOwners(group, state.membership_.vms_, state.configuration_.policy_.ownersPerGroup_);
+    VmInfo &self = state.identity_.self_;
+    self.leaving_ = true;
+    std::vector<VmInfo> vms = state.membership_.vms_;
+    std::erase_if(vms, [&](const VmInfo &vm) { return vm.id_ == self.id_; });
+    vms.push_back(self);
+    adoptList(state, std::move(vms), now, out);
 }
 
-void refreshOwnership(ProxyState &state, Time now, Effects &out)
+std::vector<VmInfo> ownersOf(const ProxyState &state, const GroupId &group)
 {
-    for (const auto &[id, config] : state.configuration_.groups_) {
-        const std::vector<VmInfo> owners = ownersOf(state, id);
-        const auto self = std::ranges::find(owners, state.identity_.self_.id_, &VmInfo::id_);
-        GroupOwner *owner = findOwner(state, id);
-        if (self == owners.end()) {
-            if (owner != nullptr) {
-                owner->leaving_ = true;
-            }
-            continue;
-        }
-        if (owner == nullptr) {
-            beginOwning(state, config, now, out);
-            owner = findOwner(state, id);
-        }
-        owner->leaving_ = false;
-        owner->rank_ = static_cast<unsigned>(self - owners.begin());
-        resetQuota(*owner, static_cast<unsigned>(owners.size()));
-        wantDispatch(state, *owner);
+    const auto known = state.membership_.owners_.find(group);
+    if (known != state.membership_.owners_.end()) {
+        return known->second;
     }
+    return rendezvousOwners(group, state.membership_.vms_, state.configuration_.policy_.ownersPerGroup_);
 }
 
 void sendPeer(ProxyState &state, const VmInfo &to, PeerBody body, Effects &out)
--- a/src/Peer.h
+++ b/src/Peer.h
@@ -88,7 +88,7 @@
 struct QuotaRequest
 {
     GroupId group_;
-    std::uint64_t ask_ = 0; ///< Number of this request at its sender; the loan names it.
+    std::uint64_t ask_ = 0; ///< Number of this request at its sender, which the loan names; zero to take back what the sender has lent.
     ConnectionCount connections_;
     SlotCount slots_;
 };
--- a/src/Quota.cpp
+++ b/src/Quota.cpp
@@ -1,11 +1,18 @@
 #include "Quota.h"
 
+#include "OwnerDispatch.h"
 #include "ProxyState.h"
+#include "QuotaLoans.h"
+
+#include <algorithm>
 
 namespace Figward {
 
 namespace {
 
+constexpr std::uint32_t reserveShare = 16; // One connection in sixteen is nobody's: upstreams see a close later than the next open.
+constexpr Duration settleTime = std::chrono::seconds(2); // Longer than news of a VM takes to reach the other owners, and than a loan lasts.
+
 /** The part of \p total that falls to \p rank among \p count owners; the first ranks take what does not divide. */
 std::uint32_t partOf(std::uint32_t total, unsigned rank, unsigned count)
 {
@@ -13,37 +20,106 @@
     return total / count + extra;
 }
 
-} // namespace
+std::uint32_t minus(std::uint32_t a, std::uint32_t b)
+{
+    return a > b ? a - b : 0;
+}
 
-Quota usableQuota(const GroupOwner &owner, Time /*now*/)
+Quota lesserOf(const Quota &a, const Quota &b)
 {
-    return owner.quota_.own_;
+    return {std::min(a.connections_, b.connections_), std::min(a.slots_, b.slots_)};
 }
 
-void resetQuota(GroupOwner &owner, unsigned ownerCount)
+/** What an owner starts with, while the former owner still finishes its work: a connection to each member and one slot. */
+Quota starterQuota(const GroupOwner &owner)
 {
-    owner.quota_.own_.connections_ = ConnectionCount(partOf(owner.config_.connectionLimit_.value(), owner.rank_, ownerCount));
-    owner.quota_.own_.slots_ = SlotCount(partOf(owner.config_.slots_.value(), owner.rank_, ownerCount));
+    return {ConnectionCount(static_cast<std::uint32_t>(owner.config_.members_.size())), SlotCount(1)};
 }
 
-void onQuotaShort(ProxyState & /*state*/, GroupOwner & /*owner*/, Time /*now*/, Effects & /*out*/)
+Quota targetQuota(const GroupOwner &owner, unsigned ownerCount)
+{
+    if (owner.leaving_) {
+        // What it has begun must end, and needs a slot for that.
+        return starterQuota(owner);
+    }
+    const std::uint32_t limit = owner.config_.connectionLimit_.value();
+    const std::uint32_t shared = limit - limit / reserveShare;
+    return {ConnectionCount(partOf(shared, owner.rank_, ownerCount)), SlotCount(partOf(owner.config_.slots_.value(), owner.rank_, ownerCount))};
+}
+
+std::optional<ConnectionId> longestIdle(const ConnectionPool &pool)
+{
+    std::optional<ConnectionId> best;
+    Time bestSince = Time::max();
+    for (const auto &[id, connection] : pool.connections_) {
+        if (connection.use_ == ConnectionUse::Idle && connection.since_ < bestSince) {
+            best = id;
+            bestSince = connection.since_;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+Quota ownQuota(const GroupOwner &owner, Time now)
 {
+    const QuotaState &quota = owner.quota_;
+    return now < quota.risesAt_ ? lesserOf(quota.own_, quota.target_) : quota.target_;
 }
 
-void onQuotaRequest(ProxyState & /*state*/, const PeerMessage & /*message*/, const QuotaRequest & /*request*/, Time /*now*/, Effects & /*out*/)
+Quota usableQuota(const GroupOwner &owner, Time now)
 {
+    const Quota own = ownQuota(owner, now);
+    const Quota lent = lentQuota(owner.quota_, now);
+    const Quota borrowed = borrowedQuota(owner.quota_, now);
+    return {ConnectionCount(minus(own.connections_.value(), lent.connections_.value()) + borrowed.connections_.value()),
+            SlotCount(minus(own.slots_.value(), lent.slots_.value()) + borrowed.slots_.value())};
 }
 
-void onQuotaLoan(ProxyState & /*state*/, const PeerMessage & /*message*/, const QuotaLoan & /*loan*/, Time /*now*/, Effects & /*out*/)
+void resetQuota(ProxyState &state, GroupOwner &owner, unsigned ownerCount, Time now, Effects &out)
 {
+    QuotaState &quota = owner.quota_;
+    const bool fresh = quota.target_ == Quota{};
+    const Quota before = fresh ? starterQuota(owner) : ownQuota(owner, now);
+    const Quota target = targetQuota(owner, ownerCount);
+    if (!fresh && target == quota.target_) {
+        return;
+    }
+    quota.own_ = before;
+    quota.target_ = target;
+    const bool rises = lesserOf(before, target) != target;
+    quota.risesAt_ = rises ? now + settleTime : now;
+    if (rises) {
+        state.timers_.arm(quota.risesAt_, {TimerTopic::Quota, owner.config_.id_, 0});
+    }
+    if (owner.leaving_) {
+        beginReturningLoans(state, owner, now, out);
+    }
+    trimToQuota(state, owner, now, out);
 }
 
-void onQuotaReturn(ProxyState & /*state*/, const PeerMessage & /*message*/, const QuotaReturn & /*returned*/, Time /*now*/, Effects & /*out*/)
+void trimToQuota(ProxyState &state, GroupOwner &owner, Time now, Effects &out)
 {
+    const std::uint32_t allowed = usableQuota(owner, now).connections_.value();
+    while (owner.pool_.connections_.size() > allowed) {
+        const std::optional<ConnectionId> idle = longestIdle(owner.pool_);
+        if (!idle) {
+            return;
+        }
+        closeConnection(state, owner, *idle, out);
+    }
 }
 
-void onQuotaTimer(ProxyState & /*state*/, const TimerTag & /*tag*/, Time /*now*/, Effects & /*out*/)
+void onQuotaTimer(ProxyState &state, const TimerTag &tag, Time now, Effects &out)
 {
+    GroupOwner *owner = findOwner(state, tag.group_);
+    if (owner == nullptr) {
+        return;
+    }
+    reviewLoans(state, *owner, now, out);
+    trimToQuota(state, *owner, now, out);
+    wantDispatch(state, *owner);
 }
 
 } // namespace Figward
--- /dev/null
+++ b/test/Fleet.cmake
@@ -0,0 +1,20 @@
+# Many reducers joined in virtual time.
+add_library(figward_fleet STATIC support/Fleet.cpp)
+target_include_directories(figward_fleet PUBLIC support)
+target_compile_options(figward_fleet PRIVATE ${FIGWARD_WARNINGS})
+target_link_libraries(figward_fleet PUBLIC figward_standin figward_shell)
+
+add_executable(figward_fleet_correctness
+    correctness/ConfigurationReachesEveryVm.cpp
+)
+target_link_libraries(figward_fleet_correctness PRIVATE figward_fleet)
+figward_add_tests(figward_fleet_correctness correctness)
+
+add_executable(figward_fleet_error
+    error/ApplyResolvesLostAnswers.cpp
+    error/ConfigurationFetchHurriesAfterACut.cpp
+    error/UnusableConfigurationIsRefusedWhole.cpp
+    error/VmStartsWhilePlatformIsDown.cpp
+)
+target_link_libraries(figward_fleet_error PRIVATE figward_fleet)
+figward_add_tests(figward_fleet_error error)
--- /dev/null
+++ b/test/error/ConfigurationFetchHurriesAfterACut.cpp
@@ -0,0 +1,38 @@
+// A VM hears of a version and is cut off before it has all parts: its fetch tries again at growing intervals, seconds in the end.
+// When the cut heals, callers in that zone would be served by the former version for that long. A message of a peer that has the version
+// shows that the peer can be reached, so that the VM must ask it at once.
+
+#include "support/Fleet.h"
+
+#include <gmock/gmock.h>
+
+namespace Figward::Test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST(ConfigurationFetchHurriesAfterACut, AsksThePeerThatIsHeard)
+{
+    Fleet fleet({.vms_ = 3, .seed_ = 41});
+    fleet.apply(configurationText(3, 1));
+    fleet.run(seconds(5));
+    fleet.setPlatformCut(2, true);
+    fleet.setCut(0, 2, true);
+    fleet.setCut(1, 2, true);
+    fleet.apply(configurationText(3, 2));
+    const ProxyState &self = fleet.vms()[2].state_;
+    const VmInfo peer = fleet.vms()[0].state_.identity_.self_;
+    const PeerMessage heard{peer.id_, self.identity_.self_.id_, peer.address_, ConfigVersion(2), Heartbeat{.sender_ = peer}};
+    fleet.give(2, PeerReceived{heard});
+    fleet.run(seconds(20));
+    ASSERT_EQ(self.configuration_.version_, ConfigVersion(1));
+    ASSERT_TRUE(self.sync_.fetch_);
+    fleet.setCut(0, 2, false);
+    fleet.give(2, PeerReceived{heard});
+    fleet.run(milliseconds(20));
+    EXPECT_EQ(self.configuration_.version_, ConfigVersion(2));
+}
+
+} // namespace
+} // namespace Figward::Test
