--- a/test/support/Fleet.cpp
+++ b/test/support/Fleet.cpp
@@ -312,7 +312,7 @@
 void Fleet::send(std::size_t vm, const SendPeer &effect)
 {
     if (measuring_) {
-        Wire::v1::PeerMessage encoded;
+        figward::v1::PeerMessage encoded;
         Wire::encodePeer(effect.message_, encoded);
         const std::uint64_t size = encoded.ByteSizeLong();
         ++vms_[vm].traffic_.sentMessages_;
