--- a/src/ProxyProcess.cpp
+++ b/src/ProxyProcess.cpp
@@ -70,7 +70,7 @@
         return peerServer.status();
     }
     peerServer_ = *std::move(peerServer);
-    vm_.address_ = peerServer_.address_;
+    vm_.address_ = options_.advertisedAddress_.empty() ? peerServer_.address_ : options_.advertisedAddress_;
     absl::StatusOr<ListeningServer> callerServer =
         listen(options_.callerAddress_, serverCredentials(options_.callerTls_, ClientCertificate::NotAsked), *callers_, callerMessageLimit);
     if (!callerServer.ok()) {
--- a/src/ProxyProcess.h
+++ b/src/ProxyProcess.h
@@ -27,6 +27,7 @@
     ZoneId zone_;
     std::string callerAddress_ = "127.0.0.1:0";
     std::string peerAddress_ = "127.0.0.1:0";
+    std::string advertisedAddress_; ///< Where other proxies reach this one; empty: where it listens for them.
     std::string platformAddress_;
     std::string metricsAddress_; ///< Empty: none are served.
     std::vector<std::string> seeds_; ///< Peer addresses of proxies to ask when the platform cannot be reached.
--- /dev/null
+++ b/test/performance/ProxyOverhead.cpp
@@ -0,0 +1,218 @@
+/** \file
+ * Measures what a proxy adds to a statement, and how many statements a second go through one proxy, against calling the stand-in directly.
+ *
+ * Both ways are measured in turn in the same run, so that what else the machine does weighs on both alike.
+ */
+#include "WireUpstream.h"
+#include "support/LoopbackFleet.h"
+
+#include <algorithm>
+#include <benchmark/benchmark.h>
+#include <condition_variable>
+#include <mutex>
+
+namespace Figward::Test {
+
+namespace {
+
+using SteadyClock = std::chrono::steady_clock;
+
+constexpr unsigned connectionLimit = 35;
+constexpr int pairs = 5000;
+constexpr int windowSize = 128; ///< Statements under way at once in the measurement of throughput.
+constexpr int statements = 100'000;
+
+/** A group that takes no time of its own, so that what is measured is the way to it. */
+Standin::GroupModelConfig instantGroup()
+{
+    Standin::GroupModelConfig config = LoopbackFleet::defaultGroup();
+    config.connectionLimit_ = ConnectionCount(connectionLimit);
+    config.slots_ = SlotCount(10'000);
+    config.statementTime_ = Duration(0);
+    return config;
+}
+
+/** One connection straight to the stand-in. */
+class DirectConnection
+{
+public:
+    explicit DirectConnection(const std::string &address)
+        : stub_(v1::Upstream::NewStub(openChannel(address, clientCredentials(std::nullopt))))
+        , stream_(stub_->Connect(&context_))
+    {
+        v1::ConnectionRequest open;
+        open.mutable_open()->set_member(LoopbackFleet::defaultGroup().members_.front().value());
+        stream_->Write(open);
+        v1::ConnectionAnswer opened;
+        stream_->Read(&opened);
+    }
+
+    DirectConnection(const DirectConnection &) = delete;
+    DirectConnection &operator=(const DirectConnection &) = delete;
+
+    ~DirectConnection()
+    {
+        context_.TryCancel();
+        stream_->Finish();
+    }
+
+    bool read()
+    {
+        v1::ConnectionRequest request;
+        Wire::encode(UpstreamStatement{StatementId(next_++), RequestKind::Read, Term(0), std::nullopt, Sequence(0), "get tyre"}, *request.mutable_statement());
+        v1::ConnectionAnswer answer;
+        return stream_->Write(request) && stream_->Read(&answer) && answer.answer().result() == v1::UPSTREAM_RESULT_DONE;
+    }
+
+private:
+    std::unique_ptr<v1::Upstream::Stub> stub_;
+    grpc::ClientContext context_;
+    std::unique_ptr<grpc::ClientReaderWriter<v1::ConnectionRequest, v1::ConnectionAnswer>> stream_;
+    std::uint64_t next_ = 1;
+};
+
+double medianMicros(std::vector<SteadyClock::duration> &samples)
+{
+    std::ranges::nth_element(samples, samples.begin() + static_cast<std::ptrdiff_t>(samples.size() / 2));
+    return std::chrono::duration<double, std::micro>(samples[samples.size() / 2]).count();
+}
+
+template<typename Call>
+SteadyClock::duration timeOf(const Call &call)
+{
+    const auto start = SteadyClock::now();
+    call();
+    return SteadyClock::now() - start;
+}
+
+/** One statement at a time, by turns directly and through a proxy. */
+void BM_AddedLatency(benchmark::State &state)
+{
+    LoopbackFleet fleet(instantGroup());
+    CallerClient client(fleet.addProxy("z1").callerAddress());
+    DirectConnection direct(fleet.group().address());
+    const Request read = LoopbackFleet::session().read(LoopbackFleet::groupId(), "get tyre");
+    std::vector<SteadyClock::duration> directTimes;
+    std::vector<SteadyClock::duration> proxyTimes;
+    for (auto _ : state) {
+        for (int i = 0; i < pairs; ++i) {
+            bool ok = true;
+            directTimes.push_back(timeOf([&] { ok = direct.read(); }));
+            proxyTimes.push_back(timeOf([&] {
+                const ClientResult result = client.execute(read);
+                ok = ok && result.ok() && result->outcome_ == Outcome::Done;
+            }));
+            if (!ok) {
+                state.SkipWithError("a statement failed");
+                return;
+            }
+        }
+    }
+    const double directMedian = medianMicros(directTimes);
+    const double proxyMedian = medianMicros(proxyTimes);
+    state.counters["direct_p50_us"] = directMedian;
+    state.counters["proxy_p50_us"] = proxyMedian;
+    state.counters["added_p50_us"] = proxyMedian - directMedian;
+}
+BENCHMARK(BM_AddedLatency)->Iterations(1)->Repetitions(3)->Unit(benchmark::kMillisecond);
+
+/** Keeps a number of statements under way until all have been answered. */
+class Window
+{
+public:
+    Window(CallerClient &client, const Request &request, int total)
+        : client_(client)
+        , request_(request)
+        , left_(total)
+    {
+    }
+
+    /** Returns how many were done. */
+    int run()
+    {
+        for (int i = 0; i < windowSize; ++i) {
+            sendNext();
+        }
+        std::unique_lock lock(mutex_);
+        ended_.wait(lock, [this] { return underWay_ == 0; });
+        return done_;
+    }
+
+private:
+    void sendNext()
+    {
+        {
+            const std::scoped_lock lock(mutex_);
+            if (left_ == 0) {
+                return;
+            }
+            --left_;
+            ++underWay_;
+        }
+        client_.execute(request_, [this](const ClientResult &result) {
+            const bool done = result.ok() && result->outcome_ == Outcome::Done;
+            sendNext();
+            const std::scoped_lock lock(mutex_);
+            done_ += done ? 1 : 0;
+            if (--underWay_ == 0) {
+                ended_.notify_all();
+            }
+        });
+    }
+
+    CallerClient &client_;
+    const Request request_;
+    std::mutex mutex_;
+    std::condition_variable ended_;
+    int left_;
+    int underWay_ = 0;
+    int done_ = 0;
+};
+
+/** Many statements at a time through one proxy. */
+void BM_Throughput(benchmark::State &state)
+{
+    LoopbackFleet fleet(instantGroup(), SlotCount(connectionLimit));
+    CallerClient client(fleet.addProxy("z1").callerAddress());
+    const Request read = LoopbackFleet::session().read(LoopbackFleet::groupId(), "get tyre");
+    for (auto _ : state) {
+        if (Window(client, read, statements).run() != statements) {
+            state.SkipWithError("a statement failed");
+            return;
+        }
+    }
+    state.SetItemsProcessed(state.iterations() * statements);
+}
+BENCHMARK(BM_Throughput)->Iterations(1)->Repetitions(3)->Unit(benchmark::kMillisecond)->UseRealTime();
+
+/** Many statements at a time straight to the stand-in, on as many connections as the group accepts. */
+void BM_ThroughputDirect(benchmark::State &state)
+{
+    LoopbackFleet fleet(instantGroup());
+    for (auto _ : state) {
+        std::atomic<bool> ok = true;
+        std::vector<std::thread> threads;
+        for (unsigned i = 0; i < connectionLimit; ++i) {
+            threads.emplace_back([&] {
+                DirectConnection direct(fleet.group().address());
+                for (unsigned n = 0; n < statements / connectionLimit; ++n) {
+                    ok = direct.read() && ok;
+                }
+            });
+        }
+        for (std::thread &thread : threads) {
+            thread.join();
+        }
+        if (!ok) {
+            state.SkipWithError("a statement failed");
+        }
+    }
+    state.SetItemsProcessed(state.iterations() * (statements / connectionLimit) * connectionLimit);
+}
+BENCHMARK(BM_ThroughputDirect)->Iterations(1)->Repetitions(3)->Unit(benchmark::kMillisecond)->UseRealTime();
+
+} // namespace
+
+} // namespace Figward::Test
+
+BENCHMARK_MAIN();
--- a/test/support/LoopbackFleet.cpp
+++ b/test/support/LoopbackFleet.cpp
@@ -45,8 +45,9 @@
     return true;
 }
 
-LoopbackFleet::LoopbackFleet(Standin::GroupModelConfig group)
-    : platform_(quickPlatform(), 1)
+LoopbackFleet::LoopbackFleet(Standin::GroupModelConfig group, SlotCount slots)
+    : slots_(slots)
+    , platform_(quickPlatform(), 1)
     , group_(std::move(group), 1)
 {
     EXPECT_TRUE(platform_.start("127.0.0.1:0").ok());
@@ -80,7 +81,7 @@
 {
     Configuration configuration;
     configuration.version_ = ConfigVersion(1);
-    GroupConfig group{groupId(), service(), {}, ConnectionCount(35), SlotCount(5)};
+    GroupConfig group{groupId(), service(), {}, ConnectionCount(35), slots_};
     const std::array<const char *, 3> zones{"z1", "z2", "z3"};
     const std::vector<MemberId> members = defaultGroup().members_;
     for (std::size_t i = 0; i < members.size(); ++i) {
@@ -104,7 +105,7 @@
     options.zone_ = ZoneId(zone);
     std::unique_ptr<ProxyProcess> proxy = makeProxy(std::move(options));
     EXPECT_TRUE(proxy->start().ok());
-    proxy->run([this](ProxyState &state, Time now, Effects &out) { adoptConfiguration(state, configuration(), now, out); });
+    configure(*proxy);
     CallerClient client(proxy->callerAddress());
     EXPECT_TRUE(eventually([&] {
         const ClientResult result = client.execute(session().read(groupId(), "get ready"));
@@ -113,6 +114,11 @@
     return proxy;
 }
 
+void LoopbackFleet::configure(ProxyProcess &proxy)
+{
+    proxy.run([this](ProxyState &state, Time now, Effects &out) { adoptConfiguration(state, configuration(), now, out); });
+}
+
 ProxyProcess &LoopbackFleet::addProxy(const std::string &zone)
 {
     proxies_.push_back(startProxy(zone));
--- a/test/support/LoopbackFleet.h
+++ b/test/support/LoopbackFleet.h
@@ -33,12 +33,15 @@
 class LoopbackFleet
 {
 public:
-    explicit LoopbackFleet(Standin::GroupModelConfig group = defaultGroup());
+    /** \p slots is what the configuration says of the group. */
+    explicit LoopbackFleet(Standin::GroupModelConfig group = defaultGroup(), SlotCount slots = SlotCount(5));
 
     /** Starts a proxy in a zone, and waits until it has the configuration and an answer from the group. */
     ProxyProcess &addProxy(const std::string &zone);
     /** Starts a proxy with \p options, to which the platform's address and the log are added; does not wait. */
     std::unique_ptr<ProxyProcess> makeProxy(ProxyOptions options);
+    /** Puts the configuration into force on \p proxy. */
+    void configure(ProxyProcess &proxy);
     [[nodiscard]] Standin::GroupStandinServer &group();
     [[nodiscard]] Standin::PlatformStandinServer &platform();
     [[nodiscard]] ProxyProcess &proxy(std::size_t index);
@@ -61,6 +64,7 @@
     void awaitMembership();
 
     std::shared_ptr<RecordingLog> log_ = std::make_shared<RecordingLog>();
+    SlotCount slots_;
     Standin::PlatformStandinServer platform_;
     Standin::GroupStandinServer group_;
     std::vector<std::unique_ptr<ProxyProcess>> proxies_;
