Command line: check, timeline, version; settings; log lines and their catalogue

Cause: there was no binary, and docs had no tables of fields and events. The test of bad input found that reading a directory ended with a stray message; it is now named as unreadable.

--- a/src/FieldTable.cpp
+++ b/src/FieldTable.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
 #include <algorithm>
 #include <arpa/inet.h>
 #include <cassert>
@@ -49,6 +50,7 @@
         return JsonKind::Boolean;
     case FieldType::Text:
     case FieldType::Name:
+    case FieldType::Choice:
     case FieldType::Address:
         return JsonKind::Text;
     case FieldType::Object:
@@ -86,6 +88,14 @@
     }
 }
 
+void checkChoice(const JsonNode &node, const FieldInfo &field, const std::string &pointer, TextProblems &problems)
+{
+    const std::vector<absl::string_view> choices = absl::StrSplit(asAbsl(field.choices_), ' ');
+    if (std::ranges::find(choices, node.text_) == choices.end()) {
+        problems.add(TextProblemKind::InvalidValue, node.offset_, pointer, absl::StrCat("expected one of: ", asAbsl(field.choices_)));
+    }
+}
+
 void checkAddress(const JsonNode &node, const std::string &pointer, TextProblems &problems)
 {
     if (checkKind(node, JsonKind::Text, pointer, problems) && !isAddress(node.text_)) {
@@ -121,6 +131,9 @@
     case FieldType::Name:
         checkName(node, pointer, problems);
         break;
+    case FieldType::Choice:
+        checkChoice(node, field, pointer, problems);
+        break;
     case FieldType::Address:
         checkAddress(node, pointer, problems);
         break;
@@ -160,6 +173,8 @@
         return "string";
     case FieldType::Name:
         return "name";
+    case FieldType::Choice:
+        return "choice";
     case FieldType::Address:
         return "address";
     case FieldType::Object:
--- a/src/FieldTable.h
+++ b/src/FieldTable.h
@@ -19,6 +19,7 @@
     Boolean,
     Text,
     Name, ///< 1 to 63 of A-Z a-z 0-9 . _ - and no leading mark.
+    Choice, ///< One of the words in choices_.
     Address, ///< "IP:port"; an IPv6 number stands in brackets.
     Object,
     Names, ///< Array of Name.
@@ -40,6 +41,7 @@
     std::int64_t maximum_ = 0;
     std::string_view meaning_; ///< One sentence for operators.
     const ObjectInfo *object_ = nullptr; ///< Of Object and Objects.
+    std::string_view choices_{}; ///< Of Choice, separated by spaces.
 };
 
 /** One kind of object. */
--- /dev/null
+++ b/src/Settings.cpp
@@ -0,0 +1,136 @@
+#include "Settings.h"
+
+#include <array>
+
+namespace Figward {
+
+namespace {
+
+constexpr std::int64_t maxPath = 4096;
+constexpr std::int64_t maxSeeds = 64;
+
+constexpr FieldInfo field(std::string_view name, FieldType type, bool required, std::string_view meaning)
+{
+    return {name, type, "", required, "", 0, 0, meaning};
+}
+
+constexpr FieldInfo file(std::string_view name, bool required, std::string_view meaning)
+{
+    return {name, FieldType::Text, "", required, "", 1, maxPath, meaning};
+}
+
+constexpr std::array callerTlsFields{
+    file("certificate_file", true, "Certificate chain that callers are shown, PEM."),
+    file("key_file", true, "Private key of the certificate, PEM."),
+    file("ca_file", false, "Certificates that sign those of callers, PEM; without it callers are asked for none."),
+};
+
+constexpr std::array peerTlsFields{
+    file("certificate_file", true, "Certificate chain that other proxies are shown, PEM."),
+    file("key_file", true, "Private key of the certificate, PEM."),
+    file("ca_file", true, "Certificates that sign those of the other proxies, PEM; both sides show one."),
+};
+
+constexpr std::array settingsFields{
+    field("name", FieldType::Name, false, "Name of the process in its log; the advertised address if absent."),
+    field("availability_zone", FieldType::Name, true, "Availability zone that the VM stands in, as the configuration names it."),
+    field("caller_address", FieldType::Address, true, "Listens here for callers."),
+    field("peer_address", FieldType::Address, true, "Listens here for other proxies."),
+    field("advertised_address", FieldType::Address, false, "Where other proxies reach this one; peer_address if absent. Needed if that is 0.0.0.0 or [::]."),
+    field("platform_address", FieldType::Address, true, "The platform's object API."),
+    field("metrics_address", FieldType::Address, false, "Serves metrics here for Prometheus; none if absent."),
+    FieldInfo{"seeds", FieldType::Addresses, "", false, "[]", 0, maxSeeds, "Peer addresses of proxies to ask when the platform cannot be reached."},
+    file("log_file", false, "Log events are appended to this file; standard error if absent."),
+    FieldInfo{"log_level", FieldType::Choice, "", false, R"("info")", 0, 0, "Events below this severity are not written.", nullptr, "debug info warning error"},
+    FieldInfo{"caller_tls", FieldType::Object, "", false, "", 0, 0, "TLS towards callers; plain text if absent.", &callerTlsObject},
+    FieldInfo{"peer_tls", FieldType::Object, "", false, "", 0, 0, "TLS between proxies; plain text if absent.", &peerTlsObject},
+};
+
+LogLevel readLevel(std::string_view name)
+{
+    if (name == "debug") {
+        return LogLevel::Debug;
+    }
+    if (name == "warning") {
+        return LogLevel::Warning;
+    }
+    return name == "error" ? LogLevel::Error : LogLevel::Info;
+}
+
+std::optional<TlsFiles> readTls(const JsonNode &root, std::string_view name, const ObjectInfo &info)
+{
+    const JsonNode *node = findMember(root, name);
+    if (node == nullptr) {
+        return std::nullopt;
+    }
+    return TlsFiles{textField(*node, info, "certificate_file"), textField(*node, info, "key_file"), textField(*node, info, "ca_file")};
+}
+
+Settings readSettings(const JsonNode &root)
+{
+    const auto text = [&](std::string_view name) { return textField(root, settingsObject, name); };
+    Settings settings;
+    settings.zone_ = ZoneId(text("availability_zone"));
+    settings.callerAddress_ = text("caller_address");
+    settings.peerAddress_ = text("peer_address");
+    settings.advertisedAddress_ = text("advertised_address");
+    if (settings.advertisedAddress_.empty()) {
+        settings.advertisedAddress_ = settings.peerAddress_;
+    }
+    settings.name_ = text("name");
+    if (settings.name_.empty()) {
+        settings.name_ = settings.advertisedAddress_;
+    }
+    settings.platformAddress_ = text("platform_address");
+    settings.metricsAddress_ = text("metrics_address");
+    for (const JsonNode &seed : itemsField(root, "seeds")) {
+        settings.seeds_.push_back(seed.text_);
+    }
+    settings.logFile_ = text("log_file");
+    settings.logLevel_ = readLevel(text("log_level"));
+    settings.callerTls_ = readTls(root, "caller_tls", callerTlsObject);
+    settings.peerTls_ = readTls(root, "peer_tls", peerTlsObject);
+    return settings;
+}
+
+bool isWildcard(std::string_view address)
+{
+    return address.starts_with("0.0.0.0:") || address.starts_with("[::]:");
+}
+
+/** A proxy that told others to reach it at 0.0.0.0 would be sent nothing: each of them would call itself. */
+void checkAdvertised(const JsonNode &root, TextProblems &problems)
+{
+    const JsonNode *advertised = findMember(root, "advertised_address");
+    const std::string_view name = advertised != nullptr ? "advertised_address" : "peer_address";
+    const JsonNode *effective = findMember(root, name);
+    if (effective != nullptr && isWildcard(effective->text_)) {
+        problems.add(TextProblemKind::InvalidValue,
+                     effective->offset_,
+                     childPointer("", name),
+                     "other proxies cannot reach this address; give advertised_address the IP number of this VM");
+    }
+}
+
+} // namespace
+
+constinit const ObjectInfo callerTlsObject{"caller_tls", callerTlsFields};
+constinit const ObjectInfo peerTlsObject{"peer_tls", peerTlsFields};
+constinit const ObjectInfo settingsObject{"settings", settingsFields};
+
+CheckedSettings checkSettings(std::string_view text)
+{
+    TextProblems problems(text);
+    const std::optional<JsonNode> root = parseJsonDocument(text, problems);
+    if (root) {
+        checkObject(*root, settingsObject, "", problems);
+        checkAdvertised(*root, problems);
+    }
+    CheckedSettings result{.settings_ = std::nullopt, .problems_ = problems.take()};
+    if (result.problems_.empty()) {
+        result.settings_ = readSettings(*root);
+    }
+    return result;
+}
+
+} // namespace Figward
--- /dev/null
+++ b/test/error/CommandsRefuseBadInput.cpp
@@ -0,0 +1,92 @@
+// An operator mistypes an option or names a file that does not exist. Each command has to print a clear line and end with the exit code
+// for bad input, so that a script does not take the run for a success, and must never crash.
+
+#include "Command.h"
+#include "support/TestFiles.h"
+
+#include <filesystem>
+#include <gmock/gmock.h>
+
+using namespace Figward;
+using namespace testing;
+
+namespace {
+
+struct CommandRun
+{
+    int code_;
+    std::string output_;
+    std::string errors_;
+};
+
+CommandRun run(std::vector<const char *> arguments)
+{
+    arguments.insert(arguments.begin(), "figward");
+    testing::internal::CaptureStdout();
+    testing::internal::CaptureStderr();
+    const int code = runCommandLine(static_cast<int>(arguments.size()), arguments.data());
+    return {code, testing::internal::GetCapturedStdout(), testing::internal::GetCapturedStderr()};
+}
+
+/** A file in the temporary directory with \p text in it. */
+std::string fileWith(const std::string &name, const std::string &text)
+{
+    std::string path = (std::filesystem::path(testing::TempDir()) / name).string();
+    std::ofstream(path) << text;
+    return path;
+}
+
+constexpr int badInput = static_cast<int>(ExitCode::BadInput);
+
+} // namespace
+
+TEST(CommandsRefuseBadInput, unknownCommandsAndOptions)
+{
+    EXPECT_EQ(run({}).code_, badInput);
+    EXPECT_EQ(run({"fly"}).code_, badInput);
+    EXPECT_EQ(run({"check"}).code_, badInput);
+    EXPECT_EQ(run({"check", "a", "--nonsense"}).code_, badInput);
+    EXPECT_EQ(run({"timeline"}).code_, badInput);
+}
+
+TEST(CommandsRefuseBadInput, helpIsNoMistake)
+{
+    for (const char *command : {"check", "timeline", "version"}) {
+        const CommandRun help = run({command, "--help"});
+        EXPECT_EQ(help.code_, 0) << command;
+        EXPECT_THAT(help.output_, HasSubstr(command));
+    }
+}
+
+TEST(CommandsRefuseBadInput, filesThatCannotBeRead)
+{
+    EXPECT_EQ(run({"check", "/nonexistent/file"}).code_, badInput);
+    EXPECT_THAT(run({"check", "/"}).errors_, HasSubstr("/: "));
+    EXPECT_EQ(run({"timeline", "/nonexistent/file"}).code_, badInput);
+}
+
+TEST(CommandsRefuseBadInput, everyMistakeOfATextOnALineOfItsOwn)
+{
+    const std::string file = fileWith("three-mistakes.json", "{\n  \"policy\": {\"missed_probes\": 0},\n  \"services\": 1,\n  \"colour\": 2\n}\n");
+    const CommandRun checked = run({"check", file.c_str()});
+    EXPECT_EQ(checked.code_, badInput);
+    EXPECT_THAT(checked.errors_, HasSubstr(file + ":2:31: /policy/missed_probes: out-of-range: "));
+    EXPECT_THAT(checked.errors_, HasSubstr(file + ":3:15: /services: wrong-type: "));
+    EXPECT_THAT(checked.errors_, HasSubstr(file + ":4:3: /colour: unknown-field: "));
+    EXPECT_EQ(std::ranges::count(checked.errors_, '\n'), 3);
+}
+
+TEST(CommandsRefuseBadInput, correctExamplesPass)
+{
+    const std::string example = FIGWARD_SOURCE_DIR "/examples/consorcio.json";
+    EXPECT_EQ(run({"check", example.c_str()}).code_, 0);
+}
+
+TEST(CommandsRefuseBadInput, timelineNamesLinesThatItCannotRead)
+{
+    const std::string log = fileWith("broken.log", "2026-01-02T03:04:05.678Z INFO 101 process-started a\nrubbish\n");
+    const CommandRun timeline = run({"timeline", log.c_str()});
+    EXPECT_EQ(timeline.code_, badInput);
+    EXPECT_THAT(timeline.output_, HasSubstr("process-started"));
+    EXPECT_THAT(timeline.errors_, HasSubstr(log + ":2: "));
+}
