Commands serve and standin: figward runs as separate processes

Cause: the proxy and its stand-ins could be started by tests only. Change: serve reads settings, listens, and turns the first SIGTERM or SIGINT into a graceful shutdown; standin platform and standin group run the models, with a planned outage and a planned loss of the primary.

--- a/src/Command.h
+++ b/src/Command.h
@@ -34,6 +34,8 @@
 
 /** Each adds one command to \p app. */
 void addCheckCommand(CLI::App &app);
+void addServeCommand(CLI::App &app);
+void addStandinCommand(CLI::App &app);
 void addTimelineCommand(CLI::App &app);
 void addVersionCommand(CLI::App &app);
 
--- a/src/CommandLine.cpp
+++ b/src/CommandLine.cpp
@@ -1,4 +1,5 @@
 #include "Command.h"
+#include "Transport.h"
 
 #include <exception>
 #include <iostream>
@@ -16,6 +17,8 @@
     app.require_subcommand(1);
     app.footer(footer);
     addCheckCommand(app);
+    addServeCommand(app);
+    addStandinCommand(app);
     addTimelineCommand(app);
     addVersionCommand(app);
     try {
@@ -32,6 +35,7 @@
 
 int runCommandLine(int argc, const char *const *argv)
 {
+    silenceLibraryLog();
     try {
         return parseAndRun(argc, argv);
     } catch (const std::exception &error) {
--- a/src/ProxyProcess.cpp
+++ b/src/ProxyProcess.cpp
@@ -71,8 +71,10 @@
     }
     peerServer_ = *std::move(peerServer);
     vm_.address_ = options_.advertisedAddress_.empty() ? peerServer_.address_ : options_.advertisedAddress_;
+    const bool asksCallers = options_.callerTls_ && !options_.callerTls_->rootCertificates_.empty();
+    const ClientCertificate asked = asksCallers ? ClientCertificate::Required : ClientCertificate::NotAsked;
     absl::StatusOr<ListeningServer> callerServer =
-        listen(options_.callerAddress_, serverCredentials(options_.callerTls_, ClientCertificate::NotAsked), *callers_, callerMessageLimit);
+        listen(options_.callerAddress_, serverCredentials(options_.callerTls_, asked), *callers_, callerMessageLimit);
     if (!callerServer.ok()) {
         return callerServer.status();
     }
@@ -99,7 +101,6 @@
     peerLinks_->finish(closingGrace); // The last answers to other proxies.
     shut(peerServer_, std::chrono::milliseconds(0));
     registration_->end();
-    options_.log_->write(LogNumber::ProcessStopped, {{"vm", absl::StrCat(vm_.id_.value())}});
     releaseLinks();
 }
 
--- /dev/null
+++ b/src/Signals.cpp
@@ -0,0 +1,53 @@
+#include "Signals.h"
+
+#include <csignal>
+#include <future>
+
+namespace Figward {
+
+Signals::Signals()
+    : set_(context_, SIGTERM, SIGINT)
+{
+}
+
+Signals::~Signals()
+{
+    context_.stop();
+    if (thread_.joinable()) {
+        thread_.join();
+    }
+}
+
+void Signals::start(std::function<void()> handler)
+{
+    handler_ = std::move(handler);
+    await();
+    thread_ = std::thread([this] { context_.run(); });
+}
+
+void Signals::wait()
+{
+    std::promise<void> came;
+    bool first = true;
+    start([&] {
+        if (first) {
+            first = false;
+            came.set_value();
+        }
+    });
+    came.get_future().wait();
+    context_.stop();
+    thread_.join();
+}
+
+void Signals::await()
+{
+    set_.async_wait([this](const boost::system::error_code &error, int) {
+        if (!error) {
+            handler_();
+            await();
+        }
+    });
+}
+
+} // namespace Figward
--- a/src/Transport.cpp
+++ b/src/Transport.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <chrono>
+#include <grpc/support/log.h>
 
 namespace Figward {
 
@@ -28,6 +29,11 @@
 
 } // namespace
 
+void silenceLibraryLog()
+{
+    gpr_set_log_function([](gpr_log_func_args * /*line*/) {});
+}
+
 std::shared_ptr<grpc::ChannelCredentials> clientCredentials(const std::optional<TlsMaterial> &tls)
 {
     if (!tls) {
--- a/src/Transport.h
+++ b/src/Transport.h
@@ -15,6 +15,9 @@
 
 namespace Figward {
 
+/** Stops gRPC from writing to standard error: what it reports there reaches figward as a status, and is logged with its own number. */
+void silenceLibraryLog();
+
 /** Largest message that a caller may send, in bytes. */
 inline constexpr int callerMessageLimit = 1 << 20;
 /**
