Failover: nineteen stories of failures in virtual time; a wake-up armed in the past no longer spins

Cause: an owner alone with its suspicion, past its longer wait and without a majority of members, armed a wake-up for an instant that had passed; its process did nothing else from then on (OwnersDisagreeAboutThePrimary.anOwnerThatSeesAMinorityNeverFences did not end). Change: no wake-up once the wait is over; the next probe round goes on. Tests for a platform that is down, lost platform answers, promoters that die or pause between their steps, two promoters, rejoining primaries, fences left behind, partial cuts, a leaving primary. Result: the 19 tests pass; without the change that test did not end within 9 minutes.

--- a/src/Failover.cpp
+++ b/src/Failover.cpp
@@ -108,8 +108,11 @@
         askSecondWord(state, owner, now, out);
     }
     const Time loneStart = *suspicion.firstAskedAt_ + waitWithoutWord(state, owner, now);
+    if (now >= loneStart) {
+        return true;
+    }
     wakeFailover(state, owner, std::min(loneStart, suspicion.lastAskedAt_ + askInterval));
-    return now >= loneStart;
+    return false;
 }
 
 /** Whether the members that answered since the suspicion began are a majority: without one a fence could only do harm. */
