--- a/src/Command.h
+++ b/src/Command.h
@@ -33,9 +33,12 @@
 void exitIfProblems(const std::string &file, absl::Span<const TextProblem> problems);
 
 /** Each adds one command to \p app. */
+void addApplyCommand(CLI::App &app);
 void addCheckCommand(CLI::App &app);
 void addServeCommand(CLI::App &app);
 void addStandinCommand(CLI::App &app);
+void addDemoCommand(CLI::App &app);
+void addLoadCommand(CLI::App &app);
 void addTimelineCommand(CLI::App &app);
 void addVersionCommand(CLI::App &app);
 
--- a/src/CommandLine.cpp
+++ b/src/CommandLine.cpp
@@ -19,6 +19,9 @@
     addCheckCommand(app);
     addServeCommand(app);
     addStandinCommand(app);
+    addApplyCommand(app);
+    addDemoCommand(app);
+    addLoadCommand(app);
     addTimelineCommand(app);
     addVersionCommand(app);
     try {
--- a/src/GroupStandinServer.cpp
+++ b/src/GroupStandinServer.cpp
@@ -121,18 +121,27 @@
 
 absl::Status GroupStandinServer::start(const std::string &address)
 {
-    absl::StatusOr<ListeningServer> server = listen(address, serverCredentials(std::nullopt, ClientCertificate::NotAsked), *this, messageLimit);
+    return start(std::vector<std::string>{address});
+}
+
+absl::Status GroupStandinServer::start(const std::vector<std::string> &addresses)
+{
+    absl::StatusOr<ListeningServer> server = listen(addresses, serverCredentials(std::nullopt, ClientCertificate::NotAsked), *this, messageLimit);
     if (!server.ok()) {
         return server.status();
     }
     server_ = *std::move(server);
-    address_ = server_.address_;
     return absl::OkStatus();
 }
 
 const std::string &GroupStandinServer::address() const
 {
-    return address_;
+    return server_.address_;
+}
+
+const std::vector<std::string> &GroupStandinServer::addresses() const
+{
+    return server_.addresses_;
 }
 
 void GroupStandinServer::run(const Step &step)
--- a/src/GroupStandinServer.h
+++ b/src/GroupStandinServer.h
@@ -28,7 +28,10 @@
 
     /** Unavailable if \p address cannot be bound. */
     absl::Status start(const std::string &address);
+    /** The same at an address for each member. Each serves all members: a connection names the one it wants. */
+    absl::Status start(const std::vector<std::string> &addresses);
     [[nodiscard]] const std::string &address() const;
+    [[nodiscard]] const std::vector<std::string> &addresses() const;
     /** Runs \p step between calls. */
     void run(const Step &step);
 
@@ -59,7 +62,6 @@
     std::map<ReplyTag, Connection *> connecting_;
     std::map<LinkId, Connection *> links_;
     std::map<ReplyTag, WaitingControl> controls_;
-    std::string address_;
     StandinClock clock_; // Its thread uses all of the above, and is the first to end.
     ListeningServer server_;
 };
--- a/src/Transport.cpp
+++ b/src/Transport.cpp
@@ -1,6 +1,8 @@
 #include "Transport.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <algorithm>
 #include <chrono>
 #include <grpc/support/log.h>
 
@@ -93,21 +95,32 @@
 
 absl::StatusOr<ListeningServer>
 listen(const std::string &address, const std::shared_ptr<grpc::ServerCredentials> &credentials, grpc::Service &service, int messageLimit)
+{
+    return listen(std::vector<std::string>{address}, credentials, service, messageLimit);
+}
+
+absl::StatusOr<ListeningServer>
+listen(const std::vector<std::string> &addresses, const std::shared_ptr<grpc::ServerCredentials> &credentials, grpc::Service &service, int messageLimit)
 {
     grpc::ServerBuilder builder;
-    int port = 0;
-    builder.AddListeningPort(address, credentials, &port);
+    std::vector<int> ports(addresses.size(), 0);
+    for (std::size_t i = 0; i < addresses.size(); ++i) {
+        builder.AddListeningPort(addresses[i], credentials, &ports[i]);
+    }
     // With address reuse two processes could share a port, and half of the callers would meet the wrong one.
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
     builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, asArgument(shortestPingInterval));
     builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
     builder.SetMaxReceiveMessageSize(messageLimit);
     builder.RegisterService(&service);
-    ListeningServer listening{builder.BuildAndStart(), {}};
-    if (!listening.server_ || port == 0) {
-        return absl::UnavailableError(absl::StrCat("cannot listen at ", address));
+    ListeningServer listening{builder.BuildAndStart(), {}, {}};
+    if (!listening.server_ || std::ranges::find(ports, 0) != ports.end()) {
+        return absl::UnavailableError(absl::StrCat("cannot listen at ", absl::StrJoin(addresses, ", ")));
+    }
+    for (std::size_t i = 0; i < addresses.size(); ++i) {
+        listening.addresses_.push_back(absl::StrCat(hostOf(addresses[i]), ":", ports[i]));
     }
-    listening.address_ = absl::StrCat(hostOf(address), ":", port);
+    listening.address_ = listening.addresses_.front();
     return listening;
 }
 
--- a/src/Transport.h
+++ b/src/Transport.h
@@ -12,6 +12,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Figward {
 
@@ -65,11 +66,15 @@
 struct ListeningServer
 {
     std::unique_ptr<grpc::Server> server_;
-    std::string address_; ///< "host:port" with the port that was bound.
+    std::string address_; ///< "host:port" with the port that was bound; the first if there are several.
+    std::vector<std::string> addresses_; ///< All of them, in the order asked for.
 };
 
 /** Serves \p service at \p address, "host:port"; port 0 takes a free one. Unavailable if the port cannot be bound. */
 absl::StatusOr<ListeningServer>
 listen(const std::string &address, const std::shared_ptr<grpc::ServerCredentials> &credentials, grpc::Service &service, int messageLimit);
+/** The same at several addresses at once. */
+absl::StatusOr<ListeningServer>
+listen(const std::vector<std::string> &addresses, const std::shared_ptr<grpc::ServerCredentials> &credentials, grpc::Service &service, int messageLimit);
 
 } // namespace Figward
--- a/test/error/CommandsRefuseBadInput.cpp
+++ b/test/error/CommandsRefuseBadInput.cpp
@@ -47,11 +47,13 @@
     EXPECT_EQ(run({"check"}).code_, badInput);
     EXPECT_EQ(run({"check", "a", "--nonsense"}).code_, badInput);
     EXPECT_EQ(run({"timeline"}).code_, badInput);
+    EXPECT_EQ(run({"demo", "--seconds", "0"}).code_, badInput);
+    EXPECT_EQ(run({"load", "--proxy", "nowhere", "--service", "s", "--group", "g"}).code_, badInput);
 }
 
 TEST(CommandsRefuseBadInput, helpIsNoMistake)
 {
-    for (const char *command : {"check", "timeline", "version"}) {
+    for (const char *command : {"apply", "check", "demo", "load", "timeline", "version"}) {
         const CommandRun help = run({command, "--help"});
         EXPECT_EQ(help.code_, 0) << command;
         EXPECT_THAT(help.output_, HasSubstr(command));
@@ -76,6 +78,15 @@
     EXPECT_EQ(std::ranges::count(checked.errors_, '\n'), 3);
 }
 
+TEST(CommandsRefuseBadInput, nothingIsAppliedOfATextWithAMistake)
+{
+    const std::string file = fileWith("one-mistake.json", "{\"services\": []}");
+    EXPECT_EQ(run({"apply", file.c_str(), "--platform", "127.0.0.1:1"}).code_, badInput);
+    const std::string example = FIGWARD_SOURCE_DIR "/examples/consorcio.json";
+    EXPECT_EQ(run({"apply", example.c_str(), "--platform", "nowhere"}).code_, badInput);
+    EXPECT_EQ(run({"apply", example.c_str(), "--platform", "127.0.0.1:1", "--expect-version", "x"}).code_, badInput);
+}
+
 TEST(CommandsRefuseBadInput, correctExamplesPass)
 {
     const std::string example = FIGWARD_SOURCE_DIR "/examples/consorcio.json";
