standin group: an address for each member

Cause: a configuration refuses two members at one address, so apply could not describe the stand-in group that serve is tried with.

--- a/src/CommandStandin.cpp
+++ b/src/CommandStandin.cpp
@@ -19,7 +19,7 @@
 /** Options of both stand-ins; times are in the unit that the name says. */
 struct GroupArguments
 {
-    std::string address_ = "127.0.0.1:7201";
+    std::vector<std::string> addresses_{"127.0.0.1:7201", "127.0.0.1:7202", "127.0.0.1:7203"};
     std::vector<std::string> members_{"ledger-1-a", "ledger-1-b", "ledger-1-c"};
     unsigned connections_ = 35;
     unsigned slots_ = 5;
@@ -67,8 +67,8 @@
     Signals().wait();
 }
 
-template<typename Server>
-void startOrExit(Server &server, const std::string &address)
+template<typename Server, typename Addresses>
+void startOrExit(Server &server, const Addresses &address)
 {
     if (const absl::Status status = server.start(address); !status.ok()) {
         std::cerr << "figward: " << status.message() << '\n';
@@ -101,7 +101,7 @@
     config.statementTime_ = Duration(arguments.statementMicros_);
     config.replicationDelay_ = std::chrono::milliseconds(arguments.replicationMillis_);
     GroupStandinServer server(config, 1);
-    startOrExit(server, arguments.address_);
+    startOrExit(server, arguments.addresses_);
     Standin::MemberIndex killed = 0;
     const PlannedFault kill{arguments.killAfterSeconds_, [&] {
                                 server.run([&](GroupModel &model, Time now) {
@@ -136,7 +136,7 @@
 {
     CLI::App *command = standin.add_subcommand("group", "A database group that keeps its data in memory");
     const auto arguments = std::make_shared<GroupArguments>();
-    command->add_option("--address", arguments->address_, "Where it listens, for all members")->capture_default_str();
+    command->add_option("--addresses", arguments->addresses_, "Where it listens, one for each member")->delimiter(',')->capture_default_str();
     command->add_option("--members", arguments->members_, "Names of its members, the first primary first")->delimiter(',')->capture_default_str();
     command->add_option("--connections", arguments->connections_, "Connections that it accepts")->capture_default_str();
     command->add_option("--slots", arguments->slots_, "Statements that it runs at once")->capture_default_str();
