A repeat is told 'not run' only when its key is cancelled; a stated age holds at the primary, too

Change: Request::repeated_, set by callers, starts the request as one that may have run; the primary serves a stated age only if a majority has confirmed it within that age, and a round of probes is sent when a read waits for that.

--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -25,6 +25,11 @@
     }
 }
 
+bool isRepeated(const Request &request)
+{
+    return request.repeated_ && request.key_;
+}
+
 /** Takes the answer of a transaction's step; any failure but a rejected statement ends the transaction. */
 void takeStepAnswer(ProxyState &state, RequestId id, const Answer &answer, Time now, Effects &out)
 {
@@ -134,7 +139,9 @@
 {
     const ErrorKind refusal = checkRequest(state, event.request_, now);
     if (refusal != ErrorKind::None) {
-        Answer answer = notRun(refusal, retryAdvice(refusal));
+        // A repeat that is refused here says nothing about the ask before it.
+        Answer answer = isRepeated(event.request_) ? unknown(refusal) : notRun(refusal);
+        answer.retryAfter_ = retryAdvice(refusal);
         answer.token_ = event.request_.token_;
         out.push_back(AnswerCaller{event.id_, std::move(answer)});
         return;
@@ -143,6 +150,7 @@
     EntryRequest &asked = state.entry_.requests_[event.id_];
     asked.request_ = event.request_;
     asked.deadline_ = now + event.request_.timeout_;
+    asked.mayHaveRun_ = isRepeated(event.request_);
     if (asked.request_.kind_ == RequestKind::Begin) {
         asked.beginning_ = TransactionId(takeId(state));
     }
--- a/src/LoadSession.cpp
+++ b/src/LoadSession.cpp
@@ -132,18 +132,15 @@
     }
 }
 
-Outcome LoadSession::settle(const Request &request)
+Outcome LoadSession::settle(Request request)
 {
+    request.repeated_ = true;
     for (unsigned i = 0; i < settleTries; ++i) {
         std::this_thread::sleep_for(settlePause);
         proxy_ = proxies_.pick(random_);
         const ClientResult result = ask(request);
-        if (isDone(result)) {
-            return Outcome::Done;
-        }
-        // Any other refusal is about this attempt only; the first one may still have run.
-        if (result.ok() && result->outcome_ == Outcome::NotRun && result->error_ == ErrorKind::KeyCancelled) {
-            return Outcome::NotRun;
+        if (result.ok() && result->outcome_ != Outcome::Unknown) {
+            return result->outcome_;
         }
     }
     return Outcome::Unknown;
--- a/src/LoadSession.h
+++ b/src/LoadSession.h
@@ -28,7 +28,7 @@
     void write(const GroupId &group);
     ClientResult ask(const Request &request);
     /** Asks again with the same key, through any proxy, until the fate of the write is known or patience ends. */
-    Outcome settle(const Request &request);
+    Outcome settle(Request request);
     void count(const ClientResult &result, std::size_t proxy);
     void pauseAfter(const ClientResult &result);
     Request prepare(Request request);
--- a/src/MemberChoice.cpp
+++ b/src/MemberChoice.cpp
@@ -28,6 +28,20 @@
     return age && *age <= *needs.maxStaleness_;
 }
 
+/**
+ * Whether the primary was confirmed by a majority no longer ago than the read accepts. A primary that was cut off and replaced answers as readily as ever;
+ * without this its data would pass for fresh, whatever age was stated.
+ */
+bool isConfirmed(const GroupOwner &owner, const ReadNeeds &needs, Time now)
+{
+    const MemberView *primary = primaryOf(owner.view_);
+    if (!needs.maxStaleness_) {
+        return true;
+    }
+    const std::optional<Duration> age = primary == nullptr ? std::nullopt : replicaAge(owner.ages_, *primary, now);
+    return age && *age <= *needs.maxStaleness_;
+}
+
 bool serves(const GroupOwner &owner, const MemberView &member, const ReadNeeds &needs, Time now)
 {
     const bool usable = member.status_ && !member.config_.leaving_ && member.missedProbes_ < missedProbesToAvoid;
@@ -83,7 +97,7 @@
     const std::optional<MemberId> primary = usablePrimary(owner, now);
     // A token of a later term than the one known here says that this primary has been replaced: it may lack the session's own writes.
     const bool replaced = needs.after_ && needs.after_->term_ > owner.view_.term_;
-    if (!primary || replaced) {
+    if (!primary || replaced || !isConfirmed(owner, needs, now)) {
         return {ReadStep::Unserved, {}};
     }
     return {ReadStep::UsePrimary, *primary};
--- a/src/OwnerDispatch.cpp
+++ b/src/OwnerDispatch.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr Duration longestReplicaWait = std::chrono::milliseconds(20);
+constexpr Duration confirmInterval = std::chrono::milliseconds(10);
 constexpr int replicaWaitShare = 4; // A read waits for a replica for a quarter of its time at most.
 
 /** Where a request can go now. */
@@ -31,6 +32,14 @@
     return Target{transaction->second.member_, transaction->second.connection_, false};
 }
 
+/** A read that states an age may wait only for the primary to be confirmed: a round of probes can do that at once. */
+void confirmSoon(ProxyState &state, GroupOwner &owner, const ReadNeeds &needs, Time now, Effects &out)
+{
+    if (needs.maxStaleness_ && now - owner.probes_.lastRoundAt_ >= confirmInterval) {
+        probeRound(state, owner, now, out);
+    }
+}
+
 std::optional<Target> readTarget(ProxyState &state, GroupOwner &owner, Ticket ticket, OwnedRequest &owned, Time now, Effects &out)
 {
     const Duration patience = std::min(longestReplicaWait, owned.request_.timeout_ / replicaWaitShare);
@@ -53,6 +62,7 @@
         pollPositions(state, owner, now, out);
         return std::nullopt;
     case ReadStep::Unserved:
+        confirmSoon(state, owner, needs, now, out);
         return std::nullopt;
     }
     return std::nullopt;
--- a/src/Request.h
+++ b/src/Request.h
@@ -50,6 +50,7 @@
     std::string body_; ///< Opaque to figward; the upstream interprets it.
     std::optional<IdempotencyKey> key_; ///< Required for Write, Commit and CancelKey; a Write inside a transaction has none.
     Sequence acknowledgedBelow_; ///< The caller will not ask again for keys of its session below this one.
+    bool repeated_ = false; ///< The key was asked before, and its outcome is not known to the caller: "not run" must then hold for that ask, too.
     bool idempotent_ = false; ///< A write that the caller allows to run more than once.
     TransactionId transaction_; ///< Non-zero for a request inside a transaction; assigned by the entry proxy's answer to Begin.
     SessionToken token_;
--- a/src/WireRequest.cpp
+++ b/src/WireRequest.cpp
@@ -150,6 +150,7 @@
     }
     out.set_acknowledged_below(request.acknowledgedBelow_.value());
     out.set_idempotent(request.idempotent_);
+    out.set_repeated_ask(request.repeated_);
     out.set_transaction(request.transaction_.value());
     if (request.maxStaleness_) {
         out.set_max_staleness_us(encodeDuration(*request.maxStaleness_));
@@ -182,6 +183,7 @@
     }
     request.acknowledgedBelow_ = Sequence(in.acknowledged_below());
     request.idempotent_ = in.idempotent();
+    request.repeated_ = in.repeated_ask();
     request.transaction_ = TransactionId(in.transaction());
     request.class_ = ClassId(in.work_class());
     return request;
--- a/test/fuzz/Trial.cpp
+++ b/test/fuzz/Trial.cpp
@@ -191,6 +191,7 @@
 void Trial::sendWrite(Session &session, ProxyIndex proxy, WriteNumber number, Request request)
 {
     request.key_ = oracle_.write(number).key_;
+    request.repeated_ = session.open_ == number;
     request.acknowledgedBelow_ = request.key_->sequence_;
     ask(session, proxy, std::move(request), [this, &session, number](const std::optional<Answer> &answer) {
         oracle_.tell(number, answer);
