--- a/test/support/LoopbackFleet.cpp
+++ b/test/support/LoopbackFleet.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <array>
+#include <fstream>
 #include <gtest/gtest.h>
+#include <iterator>
 #include <thread>
 
 namespace Figward::Test {
@@ -19,6 +21,13 @@
     return config;
 }
 
+std::string certificateFile(const std::string &name)
+{
+    std::ifstream in(std::string(FIGWARD_SOURCE_DIR) + "/test/support/certificates/" + name);
+    EXPECT_TRUE(in.is_open()) << name;
+    return {std::istreambuf_iterator<char>(in), {}};
+}
+
 } // namespace
 
 void RecordingLog::write(LogNumber number, const std::vector<LogField> & /*fields*/)
@@ -92,6 +101,16 @@
     return configuration;
 }
 
+void LoopbackFleet::useTls()
+{
+    tls_ = TlsMaterial{certificateFile("proxy.pem"), certificateFile("proxy.key"), certificateFile("authority.pem")};
+}
+
+std::optional<TlsMaterial> LoopbackFleet::callerTrust() const
+{
+    return tls_ ? std::optional(TlsMaterial{{}, {}, tls_->rootCertificates_}) : std::nullopt;
+}
+
 std::unique_ptr<ProxyProcess> LoopbackFleet::makeProxy(ProxyOptions options)
 {
     options.platformAddress_ = platform_.address();
@@ -103,10 +122,15 @@
 {
     ProxyOptions options;
     options.zone_ = ZoneId(zone);
+    options.peerTls_ = tls_;
+    options.callerTls_ = tls_;
+    if (tls_) {
+        options.callerTls_->rootCertificates_.clear(); // Callers need no certificate.
+    }
     std::unique_ptr<ProxyProcess> proxy = makeProxy(std::move(options));
     EXPECT_TRUE(proxy->start().ok());
     configure(*proxy);
-    CallerClient client(proxy->callerAddress());
+    CallerClient client(proxy->callerAddress(), callerTrust());
     EXPECT_TRUE(eventually([&] {
         const ClientResult result = client.execute(session().read(groupId(), "get ready"));
         return result.ok() && result->outcome_ == Outcome::Done;
--- a/test/support/LoopbackFleet.h
+++ b/test/support/LoopbackFleet.h
@@ -36,6 +36,10 @@
     /** \p slots is what the configuration says of the group. */
     explicit LoopbackFleet(Standin::GroupModelConfig group = defaultGroup(), SlotCount slots = SlotCount(5));
 
+    /** Proxies started from now on speak TLS with callers and with each other, by the certificates in test/support/certificates. */
+    void useTls();
+    /** What a caller needs to trust the proxies; nothing without TLS. */
+    [[nodiscard]] std::optional<TlsMaterial> callerTrust() const;
     /** Starts a proxy in a zone, and waits until it has the configuration and an answer from the group. */
     ProxyProcess &addProxy(const std::string &zone);
     /** Starts a proxy with \p options, to which the platform's address and the log are added; does not wait. */
@@ -65,6 +69,7 @@
 
     std::shared_ptr<RecordingLog> log_ = std::make_shared<RecordingLog>();
     SlotCount slots_;
+    std::optional<TlsMaterial> tls_;
     Standin::PlatformStandinServer platform_;
     Standin::GroupStandinServer group_;
     std::vector<std::unique_ptr<ProxyProcess>> proxies_;
