--- /dev/null
+++ b/test/fuzz/SessionsUnderFaults.cpp
@@ -0,0 +1,39 @@
+// Callers with sessions hop between five proxies while zones, platform, members and proxies fail in any order and at once.
+// Whatever the callers were told must agree with what the groups' logs hold once everything has healed.
+#include "fuzz/Actions.h"
+
+#include <cstdlib>
+#include <gtest/gtest.h>
+#include <iostream>
+
+using namespace Figward::Testing;
+
+namespace {
+
+/** The number in environment variable \p name, or \p otherwise. */
+std::uint64_t fromEnvironment(const char *name, std::uint64_t otherwise)
+{
+    const char *text = std::getenv(name);
+    return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
+}
+
+void expectNoFinding(const FuzzRun &run)
+{
+    FuzzCounts counts;
+    const std::optional<FuzzFinding> finding = fuzz(run, counts);
+    std::cout << toString(counts) << "\n";
+    EXPECT_FALSE(finding.has_value()) << "seed " << finding->seed_ << "\n" << finding->report_;
+}
+
+} // namespace
+
+TEST(SessionsUnderFaults, keepEveryPromise)
+{
+    expectNoFinding({.firstSeed_ = 1, .seeds_ = 20, .shrink_ = std::getenv("FIGWARD_FUZZ_SHRINK") != nullptr});
+}
+
+// `ctest -L fuzz-long` runs FIGWARD_FUZZ_SEEDS seeds (2000 unless set), from FIGWARD_FUZZ_FIRST on (1000 unless set).
+TEST(LongSessionsUnderFaults, keepEveryPromise)
+{
+    expectNoFinding({.firstSeed_ = fromEnvironment("FIGWARD_FUZZ_FIRST", 1000), .seeds_ = fromEnvironment("FIGWARD_FUZZ_SEEDS", 2000), .longest_ = 200, .shrink_ = std::getenv("FIGWARD_FUZZ_SHRINK") != nullptr});
+}
--- /dev/null
+++ b/test/fuzz/Trial.h
@@ -0,0 +1,112 @@
+/** \file
+ * Defines a trial: a world, callers with sessions that hop between proxies, faults that end by themselves, and the oracle.
+ */
+#pragma once
+
+#include "fuzz/Oracle.h"
+#include "support/World.h"
+
+namespace Figward::Testing {
+
+/** What a step of a trial does. */
+enum class ActionKind {
+    Write,
+    Read,
+    Retry, ///< Asks again, by the same key, for a write whose fate the caller does not know.
+    Transact, ///< Takes the next step of the session's transaction.
+    Wait,
+    CutZones,
+    CutPlatform,
+    PauseProxy,
+    KillProxy,
+    DrainProxy,
+    KillMember,
+    PauseMember,
+    LagMember,
+    PlatformDown,
+    PlatformLossy,
+    PeersFaulty,
+};
+constexpr std::size_t actionKinds = 16;
+
+/** One step. The numbers are taken modulo what there is. */
+struct Action
+{
+    ActionKind kind_ = ActionKind::Wait;
+    std::size_t who_ = 0; ///< Session, or what the fault hits.
+    std::size_t where_ = 0; ///< Proxy, group or second zone.
+    std::size_t choice_ = 0; ///< Refines the kind.
+    Duration time_{}; ///< Wait, or how long the fault lasts.
+};
+
+/** Text of \p action, as failure reports show it. */
+std::string toString(const Action &action);
+
+/** A caller's session. */
+struct Session
+{
+    SessionId id_;
+    SessionToken token_;
+    Sequence next_{1};
+    bool busy_ = false;
+    std::optional<WriteNumber> open_; ///< Its fate is unknown to the caller.
+    std::map<std::pair<GroupId, std::string>, std::set<std::string>> told_; ///< Tags by value that it was told are written.
+    TransactionId transaction_;
+    ProxyIndex transactionProxy_ = 0;
+    WriteNumber transactionWrite_ = 0;
+};
+
+/** A trial. */
+class Trial
+{
+public:
+    explicit Trial(std::uint64_t seed);
+
+    void perform(const Action &action);
+    /** Heals everything, waits until the groups agree, and compares their logs with what callers were told. */
+    void finish();
+    [[nodiscard]] const std::vector<std::string> &violations() const;
+    [[nodiscard]] const FuzzCounts &counts() const;
+    [[nodiscard]] World &world();
+    /** Events, effects and actions so far; the end of them if there are many. */
+    [[nodiscard]] std::string trace() const;
+
+private:
+    /** A tag and when its write was acknowledged. */
+    struct Acknowledged
+    {
+        std::string tag_;
+        Time at_;
+    };
+
+    void write(Session &session, const Action &action);
+    void retry(Session &session, const Action &action);
+    void read(Session &session, const Action &action);
+    void transact(Session &session, const Action &action);
+    void begin(Session &session, const Action &action);
+    void stepWrite(Session &session, const Action &action);
+    void stepRead(Session &session, const Action &action);
+    void commit(Session &session);
+    void rollBack(Session &session);
+    void fault(const Action &action);
+    void faultOfPlatform(const Action &action);
+    void sendWrite(Session &session, ProxyIndex proxy, WriteNumber number, Request request);
+    void ask(Session &session, ProxyIndex proxy, Request request, std::function<void(const std::optional<Answer> &)> reply);
+    static void endTransaction(Session &session);
+    Request stepOf(const Session &session, RequestKind kind);
+    void noteDone(Session &session, WriteNumber number);
+    void checkOutcome(const Request &request, ProxyIndex proxy, Time askedAt, const std::optional<Answer> &answer);
+    void checkRecovered(std::size_t group);
+    [[nodiscard]] std::set<std::string> writtenBefore(const GroupId &group, const std::string &key, Time before) const;
+    Session *freeSession(std::size_t who);
+
+    std::vector<std::string> lines_;
+    World world_;
+    Oracle oracle_;
+    std::vector<Session> sessions_;
+    std::map<std::pair<GroupId, std::string>, std::vector<Acknowledged>> acknowledged_;
+    Time excusedUntil_; ///< Faults, or their after-effects, may explain an unknown outcome until then.
+    std::size_t unanswered_ = 0;
+};
+
+} // namespace Figward::Testing
--- a/test/support/World.cpp
+++ b/test/support/World.cpp
@@ -3,6 +3,7 @@
 #include "Trace.h"
 
 #include <algorithm>
+#include <stdexcept>
 
 namespace Figward::Testing {
 
@@ -10,6 +11,7 @@
 
 constexpr Duration clockStep = std::chrono::hours(1);
 constexpr Duration waitLimit = std::chrono::seconds(60);
+constexpr std::size_t mostAtOneInstant = 100000; // More than any burst: a timer that is armed for the present again and again.
 const ServiceId service("ledger");
 
 std::string memberName(std::size_t group, std::size_t member)
@@ -29,7 +31,7 @@
     made.policy_ = config.policy_;
     ServiceConfig &ledger = made.services_[service];
     ledger.id_ = service;
-    ledger.classes_ = { { ClassId("dispatch"), 0 }, { ClassId("fitment"), 1 }, { ClassId("planner"), 2 } };
+    ledger.classes_ = {{ClassId("dispatch"), 0}, {ClassId("fitment"), 1}, {ClassId("planner"), 2}};
     for (std::size_t i = 0; i < config.groups_; ++i) {
         const GroupId id = World::groupId(i);
         ledger.groups_.push_back(id);
@@ -39,7 +41,7 @@
         group.connectionLimit_ = config.group_.connectionLimit_;
         group.slots_ = config.group_.slots_;
         for (std::size_t m = 0; m < config.membersPerGroup_; ++m) {
-            group.members_.push_back({ MemberId(memberName(i, m)), zoneName((i + m) % config.zones_), memberName(i, m) + ":1", false });
+            group.members_.push_back({MemberId(memberName(i, m)), zoneName((i + m) % config.zones_), memberName(i, m) + ":1", false});
         }
     }
     return made;
@@ -62,7 +64,11 @@
 }
 
 World::World(WorldConfig config)
-    : config_(std::move(config)), configuration_(makeConfiguration(config_)), random_(config_.seed_), proxies_(config_.proxies_), linkOwners_(config_.groups_)
+    : config_(std::move(config))
+    , configuration_(makeConfiguration(config_))
+    , random_(config_.seed_)
+    , proxies_(config_.proxies_)
+    , linkOwners_(config_.groups_)
 {
     for (std::size_t i = 0; i < config_.groups_; ++i) {
         groups_.push_back(std::make_unique<Standin::GroupModel>(modelConfig(config_, i), random_(), now_));
@@ -71,12 +77,12 @@
     for (ProxyIndex i = 0; i < proxies_.size(); ++i) {
         proxies_[i].zone_ = i % config_.zones_;
         proxies_[i].clockOffset_ = static_cast<int>(i + 1) * clockStep;
-        proxies_[i].vm_ = { VmId(nextVm_++), zoneName(proxies_[i].zone_), "vm" + std::to_string(i) + ":1", false };
+        proxies_[i].vm_ = {VmId(nextVm_++), zoneName(proxies_[i].zone_), "vm" + std::to_string(i) + ":1", false};
     }
-    publishVms();
     for (ProxyIndex i = 0; i < proxies_.size(); ++i) {
         boot(i);
     }
+    publishVms();
 }
 
 Time World::now() const
@@ -90,6 +96,10 @@
     while (!queue_.empty() && queue_.top().at_ <= until) {
         const Scheduled next = queue_.top();
         queue_.pop();
+        atThisInstant_ = next.at_ > now_ ? 0 : atThisInstant_ + 1;
+        if (atThisInstant_ > mostAtOneInstant) {
+            throw std::runtime_error("the proxies spin at " + timeText());
+        }
         now_ = std::max(now_, next.at_);
         next.action_();
     }
@@ -98,7 +108,7 @@
 
 void World::schedule(Time at, std::function<void()> action)
 {
-    queue_.push({ std::max(at, now_), nextOrder_++, std::move(action) });
+    queue_.push({std::max(at, now_), nextOrder_++, std::move(action)});
 }
 
 void World::ask(ProxyIndex proxy, Request request, CallerReply reply)
@@ -111,7 +121,7 @@
     const RequestId id = asked.nextRequest_;
     asked.nextRequest_ = RequestId(id.value() + 1);
     asked.callers_[id] = std::move(reply);
-    deliver(proxy, asked.vm_.id_, CallerAsked{ id, std::move(request) });
+    deliver(proxy, asked.vm_.id_, CallerAsked{id, std::move(request)});
 }
 
 std::optional<Answer> World::askAndWait(ProxyIndex proxy, Request request)
@@ -131,16 +141,18 @@
 
 void World::leaveTransaction(ProxyIndex proxy, TransactionId transaction)
 {
-    deliver(proxy, proxies_.at(proxy).vm_.id_, CallerGone{ transaction });
+    deliver(proxy, proxies_.at(proxy).vm_.id_, CallerGone{transaction});
 }
 
 void World::pauseProxy(ProxyIndex proxy)
 {
+    trace(proxy, "is paused");
     proxies_.at(proxy).paused_ = true;
 }
 
 void World::resumeProxy(ProxyIndex proxy)
 {
+    trace(proxy, "is resumed");
     Proxy &resumed = proxies_.at(proxy);
     resumed.paused_ = false;
     const std::vector<EventBody> waiting = std::exchange(resumed.waiting_, {});
@@ -155,7 +167,7 @@
     if (!killed.state_) {
         return;
     }
-    trace(proxy, "is killed");
+    trace(proxy, killed.exited_ ? "is gone" : "is killed");
     killed.state_.reset();
     killed.paused_ = false;
     killed.waiting_.clear();
@@ -165,13 +177,14 @@
         }
     }
     killed.links_.clear();
+    killed.taken_.clear();
     for (auto &[id, reply] : std::exchange(killed.callers_, {})) {
         schedule(now_, [reply = std::move(reply)] { reply(std::nullopt); });
     }
     for (ProxyIndex peer = 0; peer < proxies_.size(); ++peer) {
         if (peer != proxy) {
             const VmId incarnation = proxies_[peer].vm_.id_;
-            carry(placeOf(proxy), placeOf(peer), [this, peer, incarnation, address = killed.vm_.address_] { deliver(peer, incarnation, PeerLost{ address }); });
+            carry(placeOf(proxy), placeOf(peer), [this, peer, incarnation, address = killed.vm_.address_] { deliver(peer, incarnation, PeerLost{address}); });
         }
     }
 }
@@ -187,8 +200,8 @@
     started.exited_ = false;
     started.paused_ = false;
     started.clockOffset_ += clockStep;
-    publishVms();
     boot(proxy);
+    publishVms();
 }
 
 void World::drainProxy(ProxyIndex proxy)
@@ -201,13 +214,40 @@
 {
     std::vector<VmInfo> vms;
     for (const Proxy &proxy : proxies_) {
-        if (proxy.state_ || platform_->counts().lists_ == 0) {
+        if (proxy.state_) {
             vms.push_back(proxy.vm_);
         }
     }
     platform_->setVms(std::move(vms), now_);
 }
 
+void World::killMember(std::size_t group, Standin::MemberIndex member, bool closesLinks)
+{
+    note("member " + groups_.at(group)->config().members_.at(member).value() + " is killed");
+    groups_[group]->kill(member, closesLinks, now_);
+    pumpGroup(group);
+}
+
+void World::restartMember(std::size_t group, Standin::MemberIndex member)
+{
+    note("member " + groups_.at(group)->config().members_.at(member).value() + " restarts");
+    groups_[group]->restart(member, now_);
+    pumpGroup(group);
+}
+
+void World::pauseMember(std::size_t group, Standin::MemberIndex member)
+{
+    note("member " + groups_.at(group)->config().members_.at(member).value() + " pauses");
+    groups_[group]->pause(member, now_);
+}
+
+void World::resumeMember(std::size_t group, Standin::MemberIndex member)
+{
+    note("member " + groups_.at(group)->config().members_.at(member).value() + " resumes");
+    groups_[group]->resume(member, now_);
+    pumpGroup(group);
+}
+
 void World::applyConfiguration(const Configuration &configuration)
 {
     configuration_ = configuration;
@@ -270,6 +310,11 @@
     return proxies_.at(proxy).exited_;
 }
 
+std::size_t World::cutByExit() const
+{
+    return cutByExit_;
+}
+
 ProxyState &World::state(ProxyIndex proxy)
 {
     return *proxies_.at(proxy).state_;
@@ -334,7 +379,7 @@
     for (const Proxy &other : proxies_) {
         seeds.push_back(other.vm_.address_);
     }
-    booted.state_ = std::make_unique<ProxyState>(makeProxyState({ booted.vm_, std::move(seeds) }, random_()));
+    booted.state_ = std::make_unique<ProxyState>(makeProxyState({booted.vm_, std::move(seeds)}, random_()));
     booted.links_.clear();
     booted.waiting_.clear();
     deliver(proxy, booted.vm_.id_, Started{});
@@ -367,12 +412,15 @@
     if (hooks_.beforeEvent_) {
         hooks_.beforeEvent_(proxy, *taker.state_, body);
     }
+    if (const auto *asked = std::get_if<CallerAsked>(&body)) {
+        taker.taken_.insert(asked->id_);
+    }
     const auto *control = std::get_if<ControlAnswered>(&body);
     const bool probe = control != nullptr && taker.probes_.erase(control->answer_.id_) > 0;
     if (trace_ != nullptr && !probe) {
         trace(proxy, describe(body));
     }
-    Effects effects = reduce(*taker.state_, { now_ + taker.clockOffset_, std::move(body) });
+    Effects effects = reduce(*taker.state_, {now_ + taker.clockOffset_, std::move(body)});
     if (hooks_.afterEvent_) {
         hooks_.afterEvent_(proxy, *taker.state_, effects);
     }
--- a/test/support/World.h
+++ b/test/support/World.h
@@ -95,6 +95,12 @@
     /** Starts a new incarnation on the VM of a proxy that was killed or has exited. */
     void startProxy(ProxyIndex proxy);
     void drainProxy(ProxyIndex proxy);
+    // Faults of members; a dead member's log stays
+    void killMember(std::size_t group, Standin::MemberIndex member, bool closesLinks);
+    void restartMember(std::size_t group, Standin::MemberIndex member);
+    void pauseMember(std::size_t group, Standin::MemberIndex member);
+    void resumeMember(std::size_t group, Standin::MemberIndex member);
+
     /** Tells the platform's list which VMs are there; without it, a dead VM stays listed. */
     void publishVms();
     /** Hands \p configuration to every proxy that runs. */
@@ -105,9 +111,10 @@
     [[nodiscard]] bool isAlive(ProxyIndex proxy) const;
     /** A proxy that has exited after a drain. */
     [[nodiscard]] bool hasExited(ProxyIndex proxy) const;
+    /** Requests that a proxy had taken in and not answered when it exited after a drain. */
+    [[nodiscard]] std::size_t cutByExit() const;
     [[nodiscard]] ProxyState &state(ProxyIndex proxy);
     [[nodiscard]] std::size_t groups() const;
-    /** After a call that makes replies, call run(). Faults of members go through here. */
     [[nodiscard]] Standin::GroupModel &group(std::size_t index);
     [[nodiscard]] Standin::PlatformModel &platform();
     [[nodiscard]] const Configuration &configuration() const;
@@ -153,8 +160,9 @@
         std::vector<EventBody> waiting_;
         std::map<ConnectionId, UpstreamLink> links_;
         std::map<RequestId, CallerReply> callers_;
+        std::set<RequestId> taken_; ///< Requests that the process has taken in, and not answered.
         std::uint64_t wakeUp_ = 0; ///< Number of the last ArmWakeUp; earlier ones are replaced.
-        RequestId nextRequest_{ 1 };
+        RequestId nextRequest_{1};
         std::set<ControlId> probes_; ///< Under way; the trace leaves them out.
     };
     struct LinkOwner
@@ -233,6 +241,8 @@
     std::map<Standin::ReplyTag, ConnectHandler> connects_;
     std::map<Standin::ReplyTag, ControlHandler> controls_;
     std::map<Standin::PlatformTag, std::function<void(const PlatformAnswer &)>> platformCalls_;
+    std::size_t cutByExit_ = 0;
+    std::size_t atThisInstant_ = 0; ///< Events since time last moved on.
     std::vector<std::string> *trace_ = nullptr;
 };
 
--- a/test/support/WorldNetwork.cpp
+++ b/test/support/WorldNetwork.cpp
@@ -20,6 +20,7 @@
     } else {
         zoneCuts_.erase(std::minmax(a, b));
     }
+    note("zones " + std::to_string(a) + " and " + std::to_string(b) + (cut ? " are cut" : " are joined"));
     for (std::size_t i = 0; i < groups_.size(); ++i) {
         Standin::GroupModel &group = *groups_[i];
         for (Standin::MemberIndex from = 0; from < group.size(); ++from) {
@@ -51,7 +52,7 @@
 {
     schedule(now_ + delayBetween(from, to), [this, from, to, action = std::move(action)]() mutable {
         if (isCut(from, to)) {
-            held_.push_back({ from, to, std::move(action) });
+            held_.push_back({from, to, std::move(action)});
             return;
         }
         action();
@@ -100,12 +101,13 @@
     }
     schedule(now_, [reply = caller->second, answer = effect.answer_] { reply(answer); });
     proxies_[proxy].callers_.erase(caller);
+    proxies_[proxy].taken_.erase(effect.id_);
 }
 
 void World::execute(ProxyIndex proxy, const SendPeer &effect)
 {
     const VmId sender = proxies_[proxy].vm_.id_;
-    const auto lose = [this, proxy, sender, address = effect.address_] { deliver(proxy, sender, PeerLost{ address }); };
+    const auto lose = [this, proxy, sender, address = effect.address_] { deliver(proxy, sender, PeerLost{address}); };
     const std::optional<ProxyIndex> peer = proxyAt(effect.address_);
     if (!peer || !proxies_[*peer].state_ || happens(peerFaults_.dropPercent_)) {
         schedule(now_ + config_.lossNoticed_, lose);
@@ -114,7 +116,7 @@
     const Place from = placeOf(proxy);
     const Place to = placeOf(*peer);
     const auto arrive = [this, to = *peer, incarnation = proxies_[*peer].vm_.id_, message = effect.message_] {
-        deliver(to, incarnation, PeerReceived{ message });
+        deliver(to, incarnation, PeerReceived{message});
     };
     if (isCut(from, to)) {
         schedule(now_ + config_.lossNoticed_, [this, from, to, lose] {
@@ -141,12 +143,12 @@
 {
     const VmId incarnation = proxies_[proxy].vm_.id_;
     const Place from = placeOf(proxy);
-    const Place platform{ .platform_ = true };
+    const Place platform{.platform_ = true};
     const Standin::PlatformTag tag(nextTag_++);
     const auto ended = std::make_shared<bool>(false);
     const auto end = [this, proxy, incarnation, ended](const PlatformAnswer &answer) {
         if (!std::exchange(*ended, true)) {
-            deliver(proxy, incarnation, PlatformAnswered{ answer });
+            deliver(proxy, incarnation, PlatformAnswered{answer});
         }
     };
     platformCalls_[tag] = [this, from, platform, end](const PlatformAnswer &answer) { carry(platform, from, [end, answer] { end(answer); }); };
@@ -155,7 +157,7 @@
         pumpPlatform();
     });
     schedule(now_ + effect.call_.timeout_ + 2 * config_.toPlatform_ + Duration(1),
-             [end, id = effect.call_.id_] { end({ .id_ = id, .status_ = PlatformStatus::Lost }); });
+             [end, id = effect.call_.id_] { end({.id_ = id, .status_ = PlatformStatus::Lost}); });
 }
 
 void World::execute(ProxyIndex proxy, const ArmWakeUp &effect)
@@ -176,6 +178,7 @@
 void World::execute(ProxyIndex proxy, const ExitProcess & /*effect*/)
 {
     proxies_[proxy].exited_ = true;
+    cutByExit_ += proxies_[proxy].taken_.size();
     killProxy(proxy);
 }
 
@@ -203,7 +206,7 @@
 
 Place World::placeOf(ProxyIndex proxy) const
 {
-    return { proxies_.at(proxy).zone_ };
+    return {proxies_.at(proxy).zone_};
 }
 
 std::size_t World::zoneOfProxy(ProxyIndex proxy) const
--- a/test/support/WorldUpstreams.cpp
+++ b/test/support/WorldUpstreams.cpp
@@ -16,7 +16,7 @@
     const Standin::MemberIndex member = memberAt(effect.member_).member_;
     const VmId incarnation = proxies_[proxy].vm_.id_;
     const ConnectionId connection = effect.connection_;
-    proxies_[proxy].links_[connection] = { .group_ = group, .member_ = member };
+    proxies_[proxy].links_[connection] = {.group_ = group, .member_ = member};
     const Standin::ReplyTag tag(nextTag_++);
     const Place from = placeOf(proxy);
     const Place to = placeOfMember(group, member);
@@ -36,7 +36,7 @@
         const bool opening = proxies_[proxy].vm_.id_ == incarnation && link != proxies_[proxy].links_.end() && !link->second.link_;
         if (opening) {
             proxies_[proxy].links_.erase(link);
-            deliver(proxy, incarnation, ConnectionLost{ connection, ConnectionEnd::Unreachable });
+            deliver(proxy, incarnation, ConnectionLost{connection, ConnectionEnd::Unreachable});
         }
     });
 }
@@ -79,7 +79,7 @@
     controls_[tag] = [this, proxy, incarnation, from, to, ended](const Standin::ControlReply &reply) {
         carry(to, from, [this, proxy, incarnation, ended, answer = reply.answer_] {
             if (!std::exchange(*ended, true)) {
-                deliver(proxy, incarnation, ControlAnswered{ answer });
+                deliver(proxy, incarnation, ControlAnswered{answer});
             }
         });
     };
@@ -89,7 +89,7 @@
     });
     schedule(now_ + effect.timeout_, [this, proxy, incarnation, ended, id = effect.call_.id_] {
         if (!std::exchange(*ended, true)) {
-            deliver(proxy, incarnation, ControlAnswered{ { .id_ = id, .result_ = ControlResult::Failed } });
+            deliver(proxy, incarnation, ControlAnswered{{.id_ = id, .result_ = ControlResult::Failed}});
         }
     });
 }
@@ -117,7 +117,7 @@
         Proxy &proxy = proxies_[owner.proxy_];
         const bool open = proxy.vm_.id_ == owner.incarnation_ && proxy.links_.erase(owner.connection_) > 0;
         if (open) {
-            deliver(owner.proxy_, owner.incarnation_, ConnectionLost{ owner.connection_, ConnectionEnd::Closed });
+            deliver(owner.proxy_, owner.incarnation_, ConnectionLost{owner.connection_, ConnectionEnd::Closed});
         }
     });
 }
@@ -138,12 +138,12 @@
     }
     if (reply.refused_) {
         opener.links_.erase(found);
-        deliver(proxy, incarnation, ConnectionLost{ connection, ConnectionEnd::Refused });
+        deliver(proxy, incarnation, ConnectionLost{connection, ConnectionEnd::Refused});
         return true;
     }
     found->second.link_ = reply.link_;
-    linkOwners_[found->second.group_][reply.link_] = { proxy, incarnation, connection, found->second.member_ };
-    deliver(proxy, incarnation, ConnectionOpened{ connection });
+    linkOwners_[found->second.group_][reply.link_] = {proxy, incarnation, connection, found->second.member_};
+    deliver(proxy, incarnation, ConnectionOpened{connection});
     return true;
 }
 
@@ -188,14 +188,14 @@
     carry(placeOfMember(group, member), placeOf(owner.proxy_), [this, owner, answer = reply.answer_] {
         Proxy &proxy = proxies_[owner.proxy_];
         if (proxy.vm_.id_ == owner.incarnation_ && proxy.links_.contains(owner.connection_)) {
-            deliver(owner.proxy_, owner.incarnation_, UpstreamAnswered{ owner.connection_, answer });
+            deliver(owner.proxy_, owner.incarnation_, UpstreamAnswered{owner.connection_, answer});
         }
     });
 }
 
 Place World::placeOfMember(std::size_t group, Standin::MemberIndex member) const
 {
-    return { zoneOfMember(group, member) };
+    return {zoneOfMember(group, member)};
 }
 
 std::size_t World::zoneOfMember(std::size_t group, Standin::MemberIndex member) const
@@ -209,7 +209,7 @@
     for (std::size_t group = 0; group < groups_.size(); ++group) {
         const Standin::MemberIndex index = groups_[group]->indexOf(member);
         if (index < groups_[group]->size()) {
-            return { group, index };
+            return {group, index};
         }
     }
     throw std::out_of_range(member.value());
