--- a/test/fuzz/Trial.h
+++ b/test/fuzz/Trial.h
@@ -96,6 +96,7 @@
     Request stepOf(const Session &session, RequestKind kind);
     void noteDone(Session &session, WriteNumber number);
     void checkOutcome(const Request &request, ProxyIndex proxy, Time askedAt, const std::optional<Answer> &answer);
+    std::optional<Answer> writePatiently(ProxyIndex proxy, Request request);
     void checkRecovered(std::size_t group);
     [[nodiscard]] std::set<std::string> writtenBefore(const GroupId &group, const std::string &key, Time before) const;
     Session *freeSession(std::size_t who);
