CallerClient: idle streams keep their connection

Cause: the client's channel pinged every 5 s like the links between processes, but a caller's thread reads its socket only while it waits for an answer; gRPC's log says 'keepalive watchdog fired' at the client, 7 s after the last call. An open transaction went with the stream. Change: callers' channels have no keepalive. Conclusion: the fault was in the caller's library only; proxies poll their links all the time.

--- a/src/CallerClient.cpp
+++ b/src/CallerClient.cpp
@@ -9,6 +9,20 @@
 /** The proxy answers by the request's timeout; only a proxy that is lost lets this pass as well. */
 constexpr Duration answerGrace = std::chrono::milliseconds(500);
 
+/**
+ * A channel without the keepalive that links between processes have. A caller's thread reads its socket only while it waits for an answer: a stream that
+ * is idle for some seconds, with its transaction, would be closed by its own side for a reply to a ping that lies unread.
+ */
+std::shared_ptr<grpc::Channel> openCallerChannel(const std::string &address, const std::optional<TlsMaterial> &tls)
+{
+    constexpr int longestReconnectMillis = 500;
+    grpc::ChannelArguments arguments;
+    arguments.SetMaxReceiveMessageSize(messageLimit);
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, longestReconnectMillis);
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1); // Clients of one process share no sockets.
+    return grpc::CreateCustomChannel(address, clientCredentials(tls), arguments);
+}
+
 std::chrono::system_clock::time_point deadlineOf(const Request &request)
 {
     return std::chrono::system_clock::now() + request.timeout_ + answerGrace;
@@ -57,7 +71,7 @@
 }
 
 CallerClient::CallerClient(const std::string &address, const std::optional<TlsMaterial> &tls)
-    : stub_(v1::Caller::NewStub(openChannel(address, clientCredentials(tls))))
+    : stub_(v1::Caller::NewStub(openCallerChannel(address, tls)))
 {
 }
 
