Command status: the zones' reports from the platform, as text or JSON

Cause: operators had no command that shows what the proxies report. Result: see the tests of bad input, which cover it now.

--- a/src/Command.h
+++ b/src/Command.h
@@ -37,6 +37,7 @@
 void addCheckCommand(CLI::App &app);
 void addServeCommand(CLI::App &app);
 void addStandinCommand(CLI::App &app);
+void addStatusCommand(CLI::App &app);
 void addDemoCommand(CLI::App &app);
 void addLoadCommand(CLI::App &app);
 void addTimelineCommand(CLI::App &app);
--- a/src/CommandLine.cpp
+++ b/src/CommandLine.cpp
@@ -19,6 +19,7 @@
     addCheckCommand(app);
     addServeCommand(app);
     addStandinCommand(app);
+    addStatusCommand(app);
     addApplyCommand(app);
     addDemoCommand(app);
     addLoadCommand(app);
--- a/test/error/CommandsRefuseBadInput.cpp
+++ b/test/error/CommandsRefuseBadInput.cpp
@@ -53,7 +53,7 @@
 
 TEST(CommandsRefuseBadInput, helpIsNoMistake)
 {
-    for (const char *command : {"apply", "check", "demo", "load", "timeline", "version"}) {
+    for (const char *command : {"apply", "check", "demo", "load", "status", "timeline", "version"}) {
         const CommandRun help = run({command, "--help"});
         EXPECT_EQ(help.code_, 0) << command;
         EXPECT_THAT(help.output_, HasSubstr(command));
@@ -87,6 +87,12 @@
     EXPECT_EQ(run({"apply", example.c_str(), "--platform", "127.0.0.1:1", "--expect-version", "x"}).code_, badInput);
 }
 
+TEST(CommandsRefuseBadInput, aPlatformThatIsAwayHasAnExitCodeOfItsOwn)
+{
+    EXPECT_EQ(run({"status", "--platform", "nowhere"}).code_, badInput);
+    EXPECT_EQ(run({"status", "--platform", "127.0.0.1:1"}).code_, static_cast<int>(ExitCode::PlatformUnreachable));
+}
+
 TEST(CommandsRefuseBadInput, correctExamplesPass)
 {
     const std::string example = FIGWARD_SOURCE_DIR "/examples/consorcio.json";
