Status reports, loans that grow at once, measurements of a fleet

Cause: nothing was reported to operators. A loan brought one slot for the first request that waited and then paused 160 ms: of 5 slots the only owner with work had 3 after 20 ms (IdleQuotaIsLent failed). Drain and loans had no tests of their own. Loans are asked for again after 3 ms while they grow. figward_fleet_measure in test/performance.

--- a/src/ConfigurationFetching.cpp
+++ b/src/ConfigurationFetching.cpp
@@ -72,7 +72,7 @@
         fetch.others_.pop_back();
         return;
     }
-    const std::vector<VmInfo> targets = gossipTargets(state, 1);
+    const std::vector<VmInfo> targets = gossipTargets(state, 2);
     fetch.source_ = targets.empty() ? std::nullopt : std::optional(targets.back());
 }
 
--- a/src/Gossip.cpp
+++ b/src/Gossip.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-std::vector<VmInfo> gossipTargets(ProxyState &state, unsigned randomCount)
+std::vector<VmInfo> gossipTargets(ProxyState &state, unsigned count)
 {
     const std::vector<VmInfo> &vms = state.membership_.vms_;
     const VmId self = state.identity_.self_.id_;
@@ -29,11 +29,11 @@
             targets.push_back(vm);
         }
     };
-    if (vms.empty()) {
+    if (vms.empty() || count == 0) {
         return targets;
     }
     add(successor(vms, self));
-    for (unsigned i = 0; i < randomCount; ++i) {
+    for (unsigned i = 1; i < count; ++i) {
         add(vms[state.random_() % vms.size()]);
     }
     return targets;
--- a/src/Gossip.h
+++ b/src/Gossip.h
@@ -12,8 +12,8 @@
 
 struct ProxyState;
 
-/** The next VM in the order of ids and \p randomCount others at random; fewer in a small fleet. */
-std::vector<VmInfo> gossipTargets(ProxyState &state, unsigned randomCount);
+/** Up to \p count VMs: the next one in the order of ids, the others at random. */
+std::vector<VmInfo> gossipTargets(ProxyState &state, unsigned count);
 /** Sends \p body to the targets of a change: each VM passes a change on once, when it first learns of it. */
 void spreadNews(ProxyState &state, const PeerBody &body, Effects &out);
 /** A sign of life of this proxy; it carries the version of the configuration. */
--- a/src/Membership.cpp
+++ b/src/Membership.cpp
@@ -202,6 +202,7 @@
 void onVmListAnswer(ProxyState &state, const PlatformAnswer &answer, Time now, Effects &out)
 {
     MembershipState &membership = state.membership_;
+    membership.platformAway_ = answer.status_ != PlatformStatus::Ok;
     // An empty list cannot be true, since this proxy runs; taking it would make this proxy the owner of every group.
     if (answer.status_ != PlatformStatus::Ok || answer.vms_.empty() || needsConfirmation(membership, answer.vms_.size())) {
         return;
--- a/src/Membership.h
+++ b/src/Membership.h
@@ -23,8 +23,8 @@
 struct FleetTuning
 {
     unsigned watchersPerZone_ = 2; ///< VMs that watch the manifest on the platform.
-    unsigned newsFanOut_ = 2; ///< Random VMs besides the successor that are told of a change.
-    unsigned heartbeatFanOut_ = 1; ///< Random VMs besides the successor that get each heartbeat.
+    unsigned newsFanOut_ = 3; ///< VMs that are told of a change by each that learns of it.
+    unsigned heartbeatFanOut_ = 2; ///< VMs that get each heartbeat.
     Duration heartbeatInterval_ = std::chrono::seconds(1);
     Duration shortestPoll_ = std::chrono::seconds(2);
     Duration pollPerVm_ = std::chrono::milliseconds(100); ///< The poll interval is this times the number of VMs.
@@ -38,6 +38,7 @@
     std::map<VmId, Time> introduced_; ///< VMs that peers named and the platform's list lacks so far, and when.
     std::map<GroupId, std::vector<VmInfo>> owners_; ///< ownersOf() for the present list; filled by refreshOwnership().
     bool smallListSeen_ = false; ///< The last list lacked most of the VMs known; it counts when a second one agrees.
+    bool platformAway_ = false; ///< The last call for the list failed.
     Time heardAt_; ///< When the last message of a peer arrived.
     FleetTuning tuning_;
 };
--- a/src/QuotaLoans.cpp
+++ b/src/QuotaLoans.cpp
@@ -13,6 +13,7 @@
 constexpr Duration borrowerLease = lease - lease / 10;
 constexpr Duration renewalTime = borrowerLease / 2;
 constexpr Duration returnPoll = std::chrono::milliseconds(2); // A statement takes a few milliseconds: its slot is returned soon after.
+constexpr Duration growthPause = std::chrono::milliseconds(3); // The other owners' answers to the same request arrive meanwhile.
 constexpr Duration firstPatience = std::chrono::milliseconds(20);
 constexpr Duration longestPatience = std::chrono::milliseconds(320);
 constexpr Duration ownUse = std::chrono::milliseconds(200); // An owner that was short so lately keeps what it has.
@@ -216,7 +217,9 @@
         beginReturningLoans(state, owner, now, out);
         return;
     }
-    if (now >= quota.askedAt_ + renewalTime) {
+    // Slots that a loan brings may wait for connections that are being opened; more slots are asked for meanwhile.
+    const bool growing = quota.patience_ == Duration::zero() && now >= quota.askAgainAt_ && !owner.queue_.places_.empty();
+    if (growing || now >= quota.askedAt_ + renewalTime) {
         askOwners(state, owner, now, out);
     }
 }
@@ -275,12 +278,16 @@
     }
     QuotaState &quota = owner->quota_;
     const VmInfo lender{.id_ = message.from_, .address_ = message.fromAddress_};
+    const Quota before = borrowedQuota(quota, now);
     std::erase_if(quota.borrowed_, [&](const QuotaBorrowed &old) { return old.lender_.id_ == lender.id_; });
     const Duration usableFor = std::min(loan.lease_ - loan.lease_ / 10, borrowerLease);
     const Time until = quota.askedAt_ + usableFor;
     quota.borrowed_.push_back({loan.loan_, lender, {loan.connections_, loan.slots_}, until});
-    quota.patience_ = longestPatience / 2; // The loan may cover it; what it does not cover is asked for less often.
-    quota.askAgainAt_ = now + quota.patience_;
+    // The request may have been made for the first of many: while loans grow there is more to be had, and a loan that does not grow is all there is.
+    const bool grew = borrowedQuota(quota, now).slots_ > before.slots_ || borrowedQuota(quota, now).connections_ > before.connections_;
+    quota.patience_ = grew ? Duration::zero() : longestPatience / 2;
+    quota.askAgainAt_ = now + (grew ? growthPause : quota.patience_);
+    arm(state, *owner, quota.askAgainAt_);
     arm(state, *owner, quota.askedAt_ + renewalTime);
     arm(state, *owner, until);
     wantDispatch(state, *owner);
--- a/test/Fleet.cmake
+++ b/test/Fleet.cmake
@@ -6,6 +6,8 @@
 
 add_executable(figward_fleet_correctness
     correctness/ConfigurationReachesEveryVm.cpp
+    correctness/IdleQuotaIsLent.cpp
+    correctness/StatusSaysWhatIsWrong.cpp
 )
 target_link_libraries(figward_fleet_correctness PRIVATE figward_fleet)
 figward_add_tests(figward_fleet_correctness correctness)
@@ -13,8 +15,19 @@
 add_executable(figward_fleet_error
     error/ApplyResolvesLostAnswers.cpp
     error/ConfigurationFetchHurriesAfterACut.cpp
+    error/DrainRefusesLateWork.cpp
     error/UnusableConfigurationIsRefusedWhole.cpp
     error/VmStartsWhilePlatformIsDown.cpp
 )
 target_link_libraries(figward_fleet_error PRIVATE figward_fleet)
 figward_add_tests(figward_fleet_error error)
+
+# Measurements in virtual time; CI builds them and does not run them.
+add_executable(figward_fleet_measure
+    performance/FleetMeasure.cpp
+    performance/FleetMeasureConfiguration.cpp
+    performance/FleetMeasureOwners.cpp
+    performance/FleetMeasureSlopes.cpp
+)
+target_link_libraries(figward_fleet_measure PRIVATE figward_fleet figward_test_support)
+target_compile_options(figward_fleet_measure PRIVATE ${FIGWARD_WARNINGS})
--- /dev/null
+++ b/test/performance/FleetMeasure.h
@@ -0,0 +1,19 @@
+/** \file
+ * Defines measurements of a fleet in virtual time. Each prints rows for docs/MEASUREMENTS.md.
+ */
+#pragma once
+
+namespace Figward::Test {
+
+/** How fast a configuration spreads, in a small and a large fleet, by three ways and their sum. */
+void measureConfiguration();
+/** How many groups move when a VM comes or goes, against a modulo baseline. */
+void measureMoves();
+/** Statements a second of 35 callers on 5 slots, by the number of owners. */
+void measureThroughput();
+/** Connections held through a rolling restart. */
+void measureRestart();
+/** How control costs grow with the fleet, and memory with groups, members, VMs and connections. */
+void measureSlopes();
+
+} // namespace Figward::Test
