Format: the whole tree by the style as it stands

Cause: several parts were written before braced lists and initialisers were set to KDE's form. Change: clang-format over all sources; no other change.

--- a/src/GroupLog.cpp
+++ b/src/GroupLog.cpp
@@ -23,7 +23,7 @@
     if (!complete || (kind == OperationKind::Add && !absl::SimpleAtoi(words[2], &number))) {
         return std::nullopt;
     }
-    return Operation{ kind, words[1], words[2] };
+    return Operation{kind, words[1], words[2]};
 }
 
 } // namespace
@@ -35,7 +35,7 @@
         return std::nullopt;
     }
     if (words[0] == "get") {
-        return words.size() == 2 ? std::optional(Operation{ OperationKind::Get, words[1], {} }) : std::nullopt;
+        return words.size() == 2 ? std::optional(Operation{OperationKind::Get, words[1], {}}) : std::nullopt;
     }
     if (words[0] == "put") {
         return changingOperation(OperationKind::Put, words);
@@ -112,7 +112,7 @@
 std::vector<LogPoint> GroupLog::termStarts() const
 {
     const std::size_t skipped = starts_.size() - std::min(starts_.size(), reportedTerms);
-    return { starts_.begin() + static_cast<std::ptrdiff_t>(skipped), starts_.end() };
+    return {starts_.begin() + static_cast<std::ptrdiff_t>(skipped), starts_.end()};
 }
 
 const Values &GroupLog::values() const
--- a/src/GroupModel.cpp
+++ b/src/GroupModel.cpp
@@ -10,7 +10,10 @@
 
 } // namespace
 
-GroupModel::GroupModel(GroupModelConfig config, std::uint64_t seed, Time now) : config_(std::move(config)), random_(seed), members_(config_.members_.size())
+GroupModel::GroupModel(GroupModelConfig config, std::uint64_t seed, Time now)
+    : config_(std::move(config))
+    , random_(seed)
+    , members_(config_.members_.size())
 {
     for (MemberIndex i = 0; i < members_.size(); ++i) {
         members_[i].fenced_ = Term(1);
@@ -18,23 +21,23 @@
             members_[i].follows_ = 0;
         }
         for (MemberIndex j = 0; j < members_.size(); ++j) {
-            delays_[{ i, j }] = config_.replicationDelay_;
+            delays_[{i, j}] = config_.replicationDelay_;
         }
     }
     members_[0].primary_ = true;
-    members_[0].log_.append({ .point_ = { Term(1), {} } }, now);
+    members_[0].log_.append({.point_ = {Term(1), {}}}, now);
 }
 
 void GroupModel::connect(MemberIndex member, ReplyTag tag, Time now)
 {
-    take(member, PendingConnect{ tag }, now);
+    take(member, PendingConnect{tag}, now);
 }
 
 void GroupModel::send(LinkId link, const UpstreamStatement &statement, Time now)
 {
     const auto found = links_.find(link);
     if (found != links_.end()) {
-        take(found->second.member_, PendingStatement{ link, statement }, now);
+        take(found->second.member_, PendingStatement{link, statement}, now);
     }
 }
 
@@ -54,7 +57,7 @@
 
 void GroupModel::control(MemberIndex member, ReplyTag tag, const ControlCall &call, Time now)
 {
-    take(member, PendingControl{ tag, call }, now);
+    take(member, PendingControl{tag, call}, now);
 }
 
 std::vector<GroupReply> GroupModel::takeReplies()
@@ -110,7 +113,7 @@
 void GroupModel::setDelay(MemberIndex from, MemberIndex to, Duration delay, Time now)
 {
     advance(now);
-    delays_[{ from, to }] = delay;
+    delays_[{from, to}] = delay;
 }
 
 void GroupModel::advance(Time now)
@@ -128,7 +131,7 @@
 MemberStatus GroupModel::status(MemberIndex member) const
 {
     const Member &reported = members_.at(member);
-    return { reported.log_.end(), reported.fenced_, reported.primary_, reported.log_.termStarts() };
+    return {reported.log_.end(), reported.fenced_, reported.primary_, reported.log_.termStarts()};
 }
 
 bool GroupModel::isUp(MemberIndex member) const
@@ -183,12 +186,12 @@
 void GroupModel::run(MemberIndex member, const PendingConnect &pending, Time now)
 {
     if (links_.size() >= config_.connectionLimit_.value()) {
-        reply(now + closeTime, ConnectReply{ pending.tag_, {}, true });
+        reply(now + closeTime, ConnectReply{pending.tag_, {}, true});
         return;
     }
     const LinkId link(nextLink_++);
-    links_[link] = { .member_ = member };
-    reply(now + config_.connectTime_, ConnectReply{ pending.tag_, link, false });
+    links_[link] = {.member_ = member};
+    reply(now + config_.connectTime_, ConnectReply{pending.tag_, link, false});
 }
 
 void GroupModel::run(MemberIndex /*member*/, const PendingStatement &pending, Time now)
@@ -202,14 +205,14 @@
     if (answer.result_ != UpstreamResult::Busy) {
         running_.insert(now + took);
     }
-    reply(now + took, StatementReply{ pending.link_, std::move(answer) });
+    reply(now + took, StatementReply{pending.link_, std::move(answer)});
 }
 
 void GroupModel::run(MemberIndex member, const PendingControl &pending, Time now)
 {
     const ControlResult result = runControl(member, pending.call_.body_, now);
     advance(now);
-    reply(now + closeTime, ControlReply{ pending.tag_, { pending.call_.id_, result, status(member) } });
+    reply(now + closeTime, ControlReply{pending.tag_, {pending.call_.id_, result, status(member)}});
 }
 
 void GroupModel::reply(Time at, GroupReply::Body body)
@@ -236,7 +239,7 @@
             continue;
         }
         if (tell) {
-            reply(now + closeTime, LinkClosed{ link->first });
+            reply(now + closeTime, LinkClosed{link->first});
         }
         link = links_.erase(link);
     }
--- a/src/GroupModel.h
+++ b/src/GroupModel.h
@@ -27,8 +27,8 @@
 struct GroupModelConfig
 {
     std::vector<MemberId> members_; ///< The first is primary of term 1 at the start.
-    ConnectionCount connectionLimit_{ 35 };
-    SlotCount slots_{ 5 };
+    ConnectionCount connectionLimit_{35};
+    SlotCount slots_{5};
     Duration connectTime_ = std::chrono::milliseconds(10);
     Duration statementTime_ = std::chrono::microseconds(500);
     Duration statementJitter_{}; ///< Up to this is added to each statement's time.
--- a/src/GroupModelControl.cpp
+++ b/src/GroupModelControl.cpp
@@ -35,7 +35,7 @@
         if (!rightTerm) {
             return ControlResult::Refused;
         }
-        member.log_.append({ .point_ = { call->requiredTerm_, {} }, .sessionsBefore_ = call->sessionsBefore_ }, now);
+        member.log_.append({.point_ = {call->requiredTerm_, {}}, .sessionsBefore_ = call->sessionsBefore_}, now);
     }
     return ControlResult::Ok;
 }
@@ -62,7 +62,7 @@
         member.primary_ = true;
         member.follows_.reset();
         member.mustCut_ = false;
-        member.log_.append({ .point_ = { term, {} } }, now);
+        member.log_.append({.point_ = {term, {}}}, now);
     }
     return ControlResult::Ok;
 }
@@ -102,7 +102,7 @@
         member.log_.truncate(commonLength(member.log_, primary.log_));
         member.mustCut_ = false;
     }
-    const Duration delay = delays_.at({ *member.follows_, index });
+    const Duration delay = delays_.at({*member.follows_, index});
     while (member.log_.entries().size() < primary.log_.entries().size()) {
         const std::size_t next = member.log_.entries().size();
         if (primary.log_.appendedAt(next) + delay > now) {
--- a/src/GroupModelStatements.cpp
+++ b/src/GroupModelStatements.cpp
@@ -61,7 +61,7 @@
         if (link.transaction_ || !statement.key_) {
             return answerOf(UpstreamResult::NoTransaction);
         }
-        return runKeyed(members_[link.member_], statement, { .tombstone_ = true }, now);
+        return runKeyed(members_[link.member_], statement, {.tombstone_ = true}, now);
     }
     return answerOf(UpstreamResult::Rejected);
 }
@@ -147,7 +147,7 @@
     Member &member = members_[link.member_];
     Values values = member.log_.values();
     LogEntry entry;
-    entry.operations_ = { *operation };
+    entry.operations_ = {*operation};
     entry.answer_ = apply(values, *operation);
     return runKeyed(member, statement, std::move(entry), now);
 }
--- a/src/PlatformModel.cpp
+++ b/src/PlatformModel.cpp
@@ -20,7 +20,9 @@
 
 } // namespace
 
-PlatformModel::PlatformModel(PlatformModelConfig config, std::uint64_t seed) : config_(config), random_(seed)
+PlatformModel::PlatformModel(PlatformModelConfig config, std::uint64_t seed)
+    : config_(config)
+    , random_(seed)
 {
 }
 
@@ -29,7 +31,7 @@
     if (faults_.down_) {
         const PlatformStatus status = faults_.silent_ ? PlatformStatus::Lost : PlatformStatus::Unavailable;
         const Duration after = faults_.silent_ ? call.timeout_ : std::min(refusalTime, call.timeout_);
-        replies_.push_back({ now + after, tag, { .id_ = call.id_, .status_ = status } });
+        replies_.push_back({now + after, tag, {.id_ = call.id_, .status_ = status}});
         return;
     }
     count(call.body_);
@@ -48,7 +50,7 @@
     for (const Watch &watch : ended) {
         PlatformAnswer answer = faults_.down_ ? PlatformAnswer{} : get(watch.path_);
         answer.id_ = watch.id_;
-        replies_.push_back({ watch.ends_, watch.tag_, std::move(answer) });
+        replies_.push_back({watch.ends_, watch.tag_, std::move(answer)});
     }
     return std::exchange(replies_, {});
 }
@@ -63,7 +65,7 @@
 {
     // The first list shows at once: the fleet was there before this run began.
     const Time from = lists_.empty() ? now : now + config_.listLag_;
-    lists_.push_back({ from, std::move(vms) });
+    lists_.push_back({from, std::move(vms)});
 }
 
 void PlatformModel::setFaults(PlatformFaults faults)
@@ -107,7 +109,7 @@
             if (present.version_ > body.after_) {
                 return std::optional(present);
             }
-            watches_.push_back({ tag, call.id_, body.path_, body.after_, now + call.timeout_ });
+            watches_.push_back({tag, call.id_, body.path_, body.after_, now + call.timeout_});
             return std::optional<PlatformAnswer>();
         },
         [&](const ListVms &) { return std::optional(list(now)); },
@@ -119,9 +121,9 @@
 {
     const auto found = objects_.find(path);
     if (found == objects_.end()) {
-        return { .status_ = PlatformStatus::NotFound };
+        return {.status_ = PlatformStatus::NotFound};
     }
-    return { .status_ = PlatformStatus::Ok, .version_ = found->second.version_, .value_ = found->second.value_ };
+    return {.status_ = PlatformStatus::Ok, .version_ = found->second.version_, .value_ = found->second.value_};
 }
 
 PlatformAnswer PlatformModel::put(const PutObject &put, Time now)
@@ -129,17 +131,17 @@
     const auto found = objects_.find(put.path_);
     const ObjectVersion present = found == objects_.end() ? ObjectVersion(0) : found->second.version_;
     if (present != put.expected_) {
-        return { .status_ = PlatformStatus::Conflict, .version_ = present };
+        return {.status_ = PlatformStatus::Conflict, .version_ = present};
     }
     const ObjectVersion next(present.value() + 1);
-    objects_[put.path_] = { next, put.value_ };
+    objects_[put.path_] = {next, put.value_};
     notifyWatches(put.path_, now);
-    return { .status_ = PlatformStatus::Ok, .version_ = next };
+    return {.status_ = PlatformStatus::Ok, .version_ = next};
 }
 
 PlatformAnswer PlatformModel::list(Time now) const
 {
-    PlatformAnswer answer{ .status_ = PlatformStatus::Ok };
+    PlatformAnswer answer{.status_ = PlatformStatus::Ok};
     for (const VmList &list : lists_) {
         if (list.shownFrom_ <= now) {
             answer.vms_ = list.vms_;
@@ -168,10 +170,10 @@
     const Duration took = config_.answerTime_ + faults_.slowness_;
     const bool lost = faults_.lossPercent_ > 0 && random_() % percent < faults_.lossPercent_;
     if (lost || took > timeout) {
-        replies_.push_back({ asked + timeout, tag, { .id_ = answer.id_, .status_ = PlatformStatus::Lost } });
+        replies_.push_back({asked + timeout, tag, {.id_ = answer.id_, .status_ = PlatformStatus::Lost}});
         return;
     }
-    replies_.push_back({ asked + took, tag, std::move(answer) });
+    replies_.push_back({asked + took, tag, std::move(answer)});
 }
 
 } // namespace Figward::Standin
--- a/src/WirePlatform.cpp
+++ b/src/WirePlatform.cpp
@@ -12,7 +12,7 @@
 
 VmInfo decode(const v1::VmInfo &in)
 {
-    return { VmId(in.id()), ZoneId(in.zone()), in.address(), in.leaving() };
+    return {VmId(in.id()), ZoneId(in.zone()), in.address(), in.leaving()};
 }
 
 v1::PlatformStatus encode(PlatformStatus status)
@@ -54,7 +54,7 @@
     if (!status.ok()) {
         return status.status();
     }
-    return PlatformAnswer{ call, *status, ObjectVersion(in.version()), std::move(*in.mutable_value()), {} };
+    return PlatformAnswer{call, *status, ObjectVersion(in.version()), std::move(*in.mutable_value()), {}};
 }
 
 absl::StatusOr<PlatformAnswer> decode(CallId call, const v1::ListVmsAnswer &in)
@@ -63,7 +63,7 @@
     if (!status.ok()) {
         return status.status();
     }
-    PlatformAnswer answer{ call, *status, {}, {}, {} };
+    PlatformAnswer answer{call, *status, {}, {}, {}};
     for (const v1::VmInfo &vm : in.vms()) {
         answer.vms_.push_back(decode(vm));
     }
--- a/src/WireRequest.cpp
+++ b/src/WireRequest.cpp
@@ -85,7 +85,7 @@
 
 LogPoint decode(const v1::LogPoint &in)
 {
-    return { Term(in.term()), Position(in.position()) };
+    return {Term(in.term()), Position(in.position())};
 }
 
 void encode(const IdempotencyKey &key, v1::IdempotencyKey &out)
@@ -97,7 +97,7 @@
 
 IdempotencyKey decode(const v1::IdempotencyKey &in)
 {
-    return { { in.session_started_seconds(), in.session_nonce() }, Sequence(in.sequence()) };
+    return {{in.session_started_seconds(), in.session_nonce()}, Sequence(in.sequence())};
 }
 
 v1::RequestKind encode(RequestKind kind)
@@ -248,14 +248,14 @@
 {
     absl::StatusOr<Request> request = decode(in.request());
     if (!request.ok() || request->kind_ == RequestKind::CancelKey) {
-        return { {}, ErrorKind::BadRequest };
+        return {{}, ErrorKind::BadRequest};
     }
     absl::StatusOr<SessionToken> token = decodeToken(in.token());
     if (!token.ok()) {
-        return { {}, ErrorKind::BadToken };
+        return {{}, ErrorKind::BadToken};
     }
     request->token_ = *std::move(token);
-    return { *std::move(request), ErrorKind::None };
+    return {*std::move(request), ErrorKind::None};
 }
 
 v1::ExecuteRequest encodeCallerRequest(const Request &request)
--- a/src/WireUpstream.cpp
+++ b/src/WireUpstream.cpp
@@ -68,7 +68,7 @@
 
 MemberStatus decode(const v1::MemberStatus &in)
 {
-    MemberStatus status{ decode(in.log()), Term(in.fenced_term()), in.primary(), {} };
+    MemberStatus status{decode(in.log()), Term(in.fenced_term()), in.primary(), {}};
     status.termStarts_.reserve(static_cast<std::size_t>(in.term_starts_size()));
     for (const v1::LogPoint &point : in.term_starts()) {
         status.termStarts_.push_back(decode(point));
@@ -121,7 +121,7 @@
     if (!result.ok()) {
         return result.status();
     }
-    return UpstreamAnswer{ StatementId(in.id()), *result, in.body(), decode(in.point()), decode(in.status()) };
+    return UpstreamAnswer{StatementId(in.id()), *result, in.body(), decode(in.point()), decode(in.status())};
 }
 
 v1::ControlRequest encodeControl(const MemberId &member, const ControlBody &body)
@@ -151,13 +151,13 @@
     case v1::ControlRequest::kProbe:
         return Probe{};
     case v1::ControlRequest::kFence:
-        return Fence{ Term(in.fence().term()) };
+        return Fence{Term(in.fence().term())};
     case v1::ControlRequest::kPromote:
-        return Promote{ Term(in.promote().term()) };
+        return Promote{Term(in.promote().term())};
     case v1::ControlRequest::kFollow:
-        return Follow{ MemberId(in.follow().primary()), Term(in.follow().term()) };
+        return Follow{MemberId(in.follow().primary()), Term(in.follow().term())};
     case v1::ControlRequest::kTrimKeys:
-        return TrimKeys{ in.trim_keys().sessions_before_seconds(), Term(in.trim_keys().required_term()) };
+        return TrimKeys{in.trim_keys().sessions_before_seconds(), Term(in.trim_keys().required_term())};
     case v1::ControlRequest::BODY_NOT_SET:
         break;
     }
@@ -174,7 +174,7 @@
 
 ControlAnswer decodeControlReply(ControlId id, const v1::ControlReply &in)
 {
-    return { id, in.refused() ? ControlResult::Refused : ControlResult::Ok, decode(in.status()) };
+    return {id, in.refused() ? ControlResult::Refused : ControlResult::Ok, decode(in.status())};
 }
 
 } // namespace Figward::Wire
--- a/test/correctness/ReadYourWritesAtAnotherProxy.cpp
+++ b/test/correctness/ReadYourWritesAtAnotherProxy.cpp
@@ -13,10 +13,10 @@
 
 Request request(RequestKind kind, const std::string &body, Sequence sequence)
 {
-    Request made{ .kind_ = kind, .service_ = ServiceId("ledger"), .group_ = World::groupId(0), .body_ = body, .timeout_ = second };
+    Request made{.kind_ = kind, .service_ = ServiceId("ledger"), .group_ = World::groupId(0), .body_ = body, .timeout_ = second};
     made.class_ = ClassId("fitment");
     if (kind == RequestKind::Write) {
-        made.key_ = { { 100, 1 }, sequence };
+        made.key_ = {{100, 1}, sequence};
     }
     return made;
 }
@@ -25,7 +25,7 @@
 
 TEST(ReadYourWrites, holdsAtAnotherProxyWhileReplicasLag)
 {
-    World world({ .seed_ = 1, .group_ = { .replicationDelay_ = std::chrono::milliseconds(50) } });
+    World world({.seed_ = 1, .group_ = {.replicationDelay_ = std::chrono::milliseconds(50)}});
     world.run(second);
     const std::optional<Answer> written = world.askAndWait(0, request(RequestKind::Write, "put tyre mounted", Sequence(1)));
     ASSERT_TRUE(written.has_value());
@@ -44,7 +44,7 @@
 {
     const auto run = [] {
         std::vector<std::string> lines;
-        World world({ .seed_ = 7 });
+        World world({.seed_ = 7});
         world.setTrace(&lines);
         world.run(second);
         world.askAndWait(1, request(RequestKind::Write, "add n 1", Sequence(1)));
--- a/test/support/Fleet.cpp
+++ b/test/support/Fleet.cpp
@@ -53,7 +53,10 @@
     return std::tie(a.at_, a.order_) > std::tie(b.at_, b.order_);
 }
 
-Fleet::Fleet(FleetOptions options) : options_(std::move(options)), platform_(options_.platform_, options_.seed_), random_(options_.seed_)
+Fleet::Fleet(FleetOptions options)
+    : options_(std::move(options))
+    , platform_(options_.platform_, options_.seed_)
+    , random_(options_.seed_)
 {
     vms_.reserve(options_.vms_);
     for (unsigned i = 0; i < options_.vms_; ++i) {
