Command line: gRPC's callback queue outlives the process's work

Cause: the test CommandsRefuseBadInput.aPlatformThatIsAway... aborted at its end in about one run of four: the last channel goes, gRPC winds up its callback queue on its own threads, and the ending process pulls the queue away under them (core: abort in grpc_cq_internal_unref). Change: the first channel is kept until the process has ended.

--- a/src/Transport.cpp
+++ b/src/Transport.cpp
@@ -30,6 +30,16 @@
     return address.substr(0, address.rfind(':'));
 }
 
+/**
+ * Keeps \p channel, if it is the first, until the process has ended. When the last channel goes, gRPC winds up its callback queue on threads of its own; if
+ * the process ends meanwhile, one of them aborts it after its work was done, with a wrong exit code. A queue that is never wound up cannot do that.
+ */
+void keepFirst(const std::shared_ptr<grpc::Channel> &channel)
+{
+    static std::once_flag once;
+    std::call_once(once, [&] { [[maybe_unused]] static const auto *kept = new std::shared_ptr<grpc::Channel>(channel); });
+}
+
 /**
  * Debian builds absl with its search for lock cycles, which gRPC pays at each of its locks, all threads under one global lock. It looks for faults of
  * gRPC itself, and aborts when it finds one; no lock of figward is of this kind.
@@ -87,7 +97,9 @@
     arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
     // Addresses are IP numbers from settings; a proxy variable of the environment is not for them.
     arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
-    return grpc::CreateCustomChannel(address, credentials, arguments);
+    std::shared_ptr<grpc::Channel> channel = grpc::CreateCustomChannel(address, credentials, arguments);
+    keepFirst(channel);
+    return channel;
 }
 
 ChannelPool::ChannelPool(std::shared_ptr<grpc::ChannelCredentials> credentials)
