apply refuses to change more than one member of a group at once

Cause: a text that exchanges a member was accepted; majorities of the old and the new members need not meet, so an acknowledged write could be lost. Ruled out: refusing at the proxies, which may skip versions and would then refuse two safe steps taken together. Measured: MembersChangeTwoAtOnce: before, the exchange was accepted as version 2; now it is refused, and the version in force stays. That the new member has caught up before the old one goes is still the operator's to see (status shows it).

--- a/src/CommandApply.cpp
+++ b/src/CommandApply.cpp
@@ -36,6 +36,12 @@
     case ApplyOutcome::Unknown:
         std::cerr << "an answer of the platform was lost; whether the configuration was accepted is unknown. Applying it again is safe.\n";
         return ExitCode::Unknown;
+    case ApplyOutcome::UnsafeChange:
+        for (const GroupId &group : result.groups_) {
+            std::cerr << group.value() << ": more than one member would change at once, which could lose writes\n";
+        }
+        std::cerr << "refused; nothing was changed. Change one member of a group, wait until the status shows it caught up, then the next.\n";
+        return ExitCode::BadInput;
     case ApplyOutcome::Damaged:
         std::cerr << "the platform holds a manifest that cannot be read; nothing was changed\n";
         return ExitCode::Failure;
--- a/src/ConfigurationApply.cpp
+++ b/src/ConfigurationApply.cpp
@@ -1,5 +1,7 @@
 #include "ConfigurationApply.h"
 
+#include "MemberChanges.h"
+
 #include <algorithm>
 #include <set>
 
@@ -58,6 +60,29 @@
     return apply.missing_.empty() ? writeManifest(apply) : writePart(apply);
 }
 
+ApplyStep readFormerPart(ConfigurationApply &apply)
+{
+    return call(apply, Stage::ReadFormerPart, GetObject{partPath(apply.unread_.front().hash_)});
+}
+
+/** Goes on once the whole present configuration is known: refuses member changes that could lose writes, or begins to write. */
+ApplyStep compareMembers(ConfigurationApply &apply)
+{
+    if (!apply.unread_.empty()) {
+        apply.tries_ = 0;
+        return readFormerPart(apply);
+    }
+    const CheckedConfiguration former = checkConfiguration(joinConfiguration(apply.former_));
+    const CheckedConfiguration next = checkConfiguration(joinConfiguration(apply.parts_));
+    if (former.configuration_ && next.configuration_) {
+        std::vector<GroupId> unsafe = unsafeMemberChanges(*former.configuration_, *next.configuration_);
+        if (!unsafe.empty()) {
+            return {.result_ = ApplyResult{ApplyOutcome::UnsafeChange, ConfigVersion(apply.next_.version_.value() - 1), std::move(unsafe)}};
+        }
+    }
+    return writeNext(apply);
+}
+
 bool isMissing(PlatformStatus status)
 {
     return status == PlatformStatus::Unavailable || status == PlatformStatus::Lost;
@@ -74,6 +99,20 @@
     return references;
 }
 
+/** Notes which parts of the \p present configuration are known from the new one, and which must be read. */
+void planComparison(ConfigurationApply &apply, const Manifest &present)
+{
+    for (const ManifestPart &part : present.parts_) {
+        const auto same = [&](const ConfigurationPart &p) { return p.name_ == part.name_ && contentHash(p.text_) == part.hash_; };
+        const auto known = std::ranges::find_if(apply.parts_, same);
+        if (known == apply.parts_.end()) {
+            apply.unread_.push_back(part);
+        } else {
+            apply.former_.push_back(*known);
+        }
+    }
+}
+
 /** Plans the update that replaces \p present. */
 void planUpdate(ConfigurationApply &apply, const Manifest &present, ObjectVersion replaces)
 {
@@ -113,7 +152,21 @@
         return finish(ApplyOutcome::Unchanged, present.version_);
     }
     planUpdate(apply, present, answer.status_ == PlatformStatus::Ok ? answer.version_ : ObjectVersion());
-    return writeNext(apply);
+    planComparison(apply, present);
+    return compareMembers(apply);
+}
+
+ApplyStep takeFormerPart(ConfigurationApply &apply, const PlatformAnswer &answer)
+{
+    if (isMissing(answer.status_)) {
+        return ++apply.tries_ < maxTries ? readFormerPart(apply) : giveUp(apply);
+    }
+    if (answer.status_ != PlatformStatus::Ok) {
+        return finish(ApplyOutcome::Damaged, ConfigVersion());
+    }
+    apply.former_.push_back({apply.unread_.front().name_, answer.value_});
+    apply.unread_.pop_front();
+    return compareMembers(apply);
 }
 
 ApplyStep takeWrittenPart(ConfigurationApply &apply, const PlatformAnswer &answer)
@@ -198,6 +251,8 @@
     switch (apply.stage_) {
     case Stage::ReadManifest:
         return takeFirstManifest(apply, *answer);
+    case Stage::ReadFormerPart:
+        return takeFormerPart(apply, *answer);
     case Stage::WritePart:
         return takeWrittenPart(apply, *answer);
     case Stage::CheckPart:
--- a/src/ConfigurationApply.h
+++ b/src/ConfigurationApply.h
@@ -23,6 +23,7 @@
     Conflict, ///< Another version than the one expected is accepted; nothing was changed.
     Unavailable, ///< The platform could not be reached; proved that nothing was changed.
     Unknown, ///< The answer was lost and could not be found out. Applying again is safe: it is told of a version that it did not expect.
+    UnsafeChange, ///< Some groups would change more than one member at once; nothing was changed. See unsafeMemberChanges().
     Damaged, ///< The platform holds a manifest that cannot be read.
 };
 
@@ -31,6 +32,7 @@
 {
     ApplyOutcome outcome_ = ApplyOutcome::Unknown;
     ConfigVersion version_; ///< The version accepted; for Conflict, the other one.
+    std::vector<GroupId> groups_; ///< For UnsafeChange: the groups.
 };
 
 /** What is to be done next: one of the two. */
@@ -47,6 +49,7 @@
     /** What the last call was for. */
     enum class Stage {
         ReadManifest,
+        ReadFormerPart,
         WritePart,
         CheckPart,
         WriteManifest,
@@ -57,6 +60,8 @@
     std::optional<ConfigVersion> expected_; ///< The version that the operator edited, if it was named.
     AttemptId attempt_;
     Stage stage_ = Stage::ReadManifest;
+    std::deque<ManifestPart> unread_; ///< Parts of the present configuration still to be read, to compare members; the first one is under way.
+    std::vector<ConfigurationPart> former_; ///< The present configuration, as far as it is known.
     std::deque<ConfigurationPart> missing_; ///< Still to be written; the first one is under way.
     Manifest next_; ///< What is written, once the present manifest is known.
     ObjectVersion replaces_; ///< Version of the manifest's object that next_ replaces.
--- a/test/Fleet.cmake
+++ b/test/Fleet.cmake
@@ -14,6 +14,7 @@
 
 add_executable(figward_fleet_error
     error/ApplyResolvesLostAnswers.cpp
+    error/MembersChangeTwoAtOnce.cpp
     error/ConfigurationFetchHurriesAfterACut.cpp
     error/DrainRefusesLateWork.cpp
     error/UnusableConfigurationIsRefusedWhole.cpp
