Tests: one namespace for all harnesses

Cause: harnesses stood in Figward::Test and Figward::Testing, for no reason that a reader could find. Change: all are in Figward::Testing.

--- a/test/correctness/ConfigurationReachesEveryVm.cpp
+++ b/test/correctness/ConfigurationReachesEveryVm.cpp
@@ -2,7 +2,7 @@
 
 #include <gmock/gmock.h>
 
-namespace Figward::Test {
+namespace Figward::Testing {
 namespace {
 
 using std::chrono::milliseconds;
@@ -78,4 +78,4 @@
 }
 
 } // namespace
-} // namespace Figward::Test
+} // namespace Figward::Testing
--- a/test/correctness/ConfigurationTextAccepted.cpp
+++ b/test/correctness/ConfigurationTextAccepted.cpp
@@ -26,7 +26,7 @@
 
 TEST(ConfigurationTextAccepted, exampleOfConsorcio)
 {
-    const Configuration configuration = accept(Figward::Test::readRepositoryFile("examples/consorcio.json"));
+    const Configuration configuration = accept(Figward::Testing::readRepositoryFile("examples/consorcio.json"));
     ASSERT_EQ(configuration.groups_.size(), 3U);
     const GroupConfig &group = configuration.groups_.at(GroupId("tyres-2"));
     EXPECT_EQ(group.service_, ServiceId("tyre-ledger"));
@@ -40,7 +40,7 @@
 
 TEST(ConfigurationTextAccepted, exampleOfMagnolia)
 {
-    const Configuration configuration = accept(Figward::Test::readRepositoryFile("examples/magnolia.json"));
+    const Configuration configuration = accept(Figward::Testing::readRepositoryFile("examples/magnolia.json"));
     ASSERT_EQ(configuration.groups_.size(), 3U);
     EXPECT_EQ(configuration.groups_.at(GroupId("valuation-3")).connectionLimit_, ConnectionCount(55));
 }
@@ -76,7 +76,7 @@
 
 TEST(ConfigurationTextAccepted, partsFollowServicesAndJoinAgain)
 {
-    const std::string text = Figward::Test::readRepositoryFile("examples/consorcio.json");
+    const std::string text = Figward::Testing::readRepositoryFile("examples/consorcio.json");
     const std::vector<ConfigurationPart> parts = splitConfiguration(text);
     EXPECT_THAT(parts, ElementsAre(Field(&ConfigurationPart::name_, "policy"), Field(&ConfigurationPart::name_, "service/tyre-ledger")));
     EXPECT_EQ(parts[0].text_, R"({"missed_probes":2})");
--- a/test/correctness/DocumentsMatchTheCode.cpp
+++ b/test/correctness/DocumentsMatchTheCode.cpp
@@ -21,7 +21,7 @@
 {
     Lines rows;
     bool inside = title.empty();
-    const std::string text = Figward::Test::readRepositoryFile(document);
+    const std::string text = Figward::Testing::readRepositoryFile(document);
     for (const absl::string_view piece : absl::StrSplit(text, '\n')) {
         const std::string line(piece);
         if (line.starts_with("## ")) {
--- a/test/correctness/IdleQuotaIsLent.cpp
+++ b/test/correctness/IdleQuotaIsLent.cpp
@@ -2,7 +2,7 @@
 
 #include <gmock/gmock.h>
 
-namespace Figward::Test {
+namespace Figward::Testing {
 namespace {
 
 using std::chrono::milliseconds;
@@ -104,4 +104,4 @@
 }
 
 } // namespace
-} // namespace Figward::Test
+} // namespace Figward::Testing
--- a/test/correctness/RollingRestartCutsNothing.cpp
+++ b/test/correctness/RollingRestartCutsNothing.cpp
@@ -7,7 +7,7 @@
 #include <mutex>
 #include <thread>
 
-namespace Figward::Test {
+namespace Figward::Testing {
 
 namespace {
 
@@ -106,4 +106,4 @@
 
 } // namespace
 
-} // namespace Figward::Test
+} // namespace Figward::Testing
--- a/test/correctness/StatementsCrossProcesses.cpp
+++ b/test/correctness/StatementsCrossProcesses.cpp
@@ -5,7 +5,7 @@
 
 #include <gmock/gmock.h>
 
-namespace Figward::Test {
+namespace Figward::Testing {
 
 namespace {
 
@@ -79,4 +79,4 @@
 
 } // namespace
 
-} // namespace Figward::Test
+} // namespace Figward::Testing
--- a/test/correctness/StatusSaysWhatIsWrong.cpp
+++ b/test/correctness/StatusSaysWhatIsWrong.cpp
@@ -2,7 +2,7 @@
 
 #include <gmock/gmock.h>
 
-namespace Figward::Test {
+namespace Figward::Testing {
 namespace {
 
 using std::chrono::seconds;
@@ -106,4 +106,4 @@
 }
 
 } // namespace
-} // namespace Figward::Test
+} // namespace Figward::Testing
--- a/test/correctness/TlsBetweenProcesses.cpp
+++ b/test/correctness/TlsBetweenProcesses.cpp
@@ -5,7 +5,7 @@
 
 #include <gmock/gmock.h>
 
-namespace Figward::Test {
+namespace Figward::Testing {
 
 namespace {
 
@@ -47,4 +47,4 @@
 
 } // namespace
 
-} // namespace Figward::Test
+} // namespace Figward::Testing
--- a/test/error/ApplyResolvesLostAnswers.cpp
+++ b/test/error/ApplyResolvesLostAnswers.cpp
@@ -7,7 +7,7 @@
 
 #include <gmock/gmock.h>
 
-namespace Figward::Test {
+namespace Figward::Testing {
 namespace {
 
 constexpr AttemptId ours{41};
@@ -137,4 +137,4 @@
 }
 
 } // namespace
-} // namespace Figward::Test
+} // namespace Figward::Testing
--- a/test/error/CertificatesAreUnusable.cpp
+++ b/test/error/CertificatesAreUnusable.cpp
@@ -4,7 +4,7 @@
 
 #include <gmock/gmock.h>
 
-namespace Figward::Test {
+namespace Figward::Testing {
 
 namespace {
 
@@ -24,4 +24,4 @@
 
 } // namespace
 
-} // namespace Figward::Test
+} // namespace Figward::Testing
--- a/test/error/ConfigurationFetchHurriesAfterACut.cpp
+++ b/test/error/ConfigurationFetchHurriesAfterACut.cpp
@@ -6,7 +6,7 @@
 
 #include <gmock/gmock.h>
 
-namespace Figward::Test {
+namespace Figward::Testing {
 namespace {
 
 using std::chrono::milliseconds;
@@ -35,4 +35,4 @@
 }
 
 } // namespace
-} // namespace Figward::Test
+} // namespace Figward::Testing
--- a/test/error/DrainRefusesLateWork.cpp
+++ b/test/error/DrainRefusesLateWork.cpp
@@ -6,7 +6,7 @@
 
 #include <gmock/gmock.h>
 
-namespace Figward::Test {
+namespace Figward::Testing {
 namespace {
 
 using std::chrono::milliseconds;
@@ -80,4 +80,4 @@
 }
 
 } // namespace
-} // namespace Figward::Test
+} // namespace Figward::Testing
--- a/test/error/MembersChangeTwoAtOnce.cpp
+++ b/test/error/MembersChangeTwoAtOnce.cpp
@@ -33,7 +33,7 @@
 TEST(MembersChangeTwoAtOnce, applyIsRefused)
 {
     Standin::PlatformModel platform({}, 1);
-    const std::string text = Figward::Test::configurationText(2, 1);
+    const std::string text = Figward::Testing::configurationText(2, 1);
     ASSERT_EQ(apply(platform, text, AttemptId(1)).outcome_, ApplyOutcome::Accepted);
     const ApplyResult refused = apply(platform, withReplacedMember(text), AttemptId(2));
     EXPECT_EQ(refused.outcome_, ApplyOutcome::UnsafeChange);
@@ -43,7 +43,7 @@
 
 TEST(MembersChangeTwoAtOnce, oneMoreOrOneLessIsSafe)
 {
-    const Configuration former = *checkConfiguration(Figward::Test::configurationText(1, 1)).configuration_;
+    const Configuration former = *checkConfiguration(Figward::Testing::configurationText(1, 1)).configuration_;
     Configuration more = former;
     more.groups_.begin()->second.members_.push_back({MemberId("new"), ZoneId("zone-0"), "10.9.9.9:5432", false});
     EXPECT_TRUE(unsafeMemberChanges(former, more).empty());
--- a/test/error/PlatformDownAtTheStart.cpp
+++ b/test/error/PlatformDownAtTheStart.cpp
@@ -4,7 +4,7 @@
 
 #include <gmock/gmock.h>
 
-namespace Figward::Test {
+namespace Figward::Testing {
 
 namespace {
 
@@ -40,4 +40,4 @@
 
 } // namespace
 
-} // namespace Figward::Test
+} // namespace Figward::Testing
--- a/test/error/PrimaryLostOverLoopback.cpp
+++ b/test/error/PrimaryLostOverLoopback.cpp
@@ -4,7 +4,7 @@
 
 #include <gmock/gmock.h>
 
-namespace Figward::Test {
+namespace Figward::Testing {
 
 namespace {
 
@@ -49,4 +49,4 @@
 
 } // namespace
 
-} // namespace Figward::Test
+} // namespace Figward::Testing
--- a/test/error/ProxyDiesUnderLoad.cpp
+++ b/test/error/ProxyDiesUnderLoad.cpp
@@ -6,7 +6,7 @@
 #include <gmock/gmock.h>
 #include <thread>
 
-namespace Figward::Test {
+namespace Figward::Testing {
 
 namespace {
 
@@ -63,4 +63,4 @@
 
 } // namespace
 
-} // namespace Figward::Test
+} // namespace Figward::Testing
--- a/test/error/ProxyMeetsBadInput.cpp
+++ b/test/error/ProxyMeetsBadInput.cpp
@@ -7,7 +7,7 @@
 #include <boost/asio/write.hpp>
 #include <gmock/gmock.h>
 
-namespace Figward::Test {
+namespace Figward::Testing {
 
 namespace {
 
@@ -111,4 +111,4 @@
 
 } // namespace
 
-} // namespace Figward::Test
+} // namespace Figward::Testing
--- a/test/error/UnusableConfigurationIsRefusedWhole.cpp
+++ b/test/error/UnusableConfigurationIsRefusedWhole.cpp
@@ -6,7 +6,7 @@
 
 #include <gmock/gmock.h>
 
-namespace Figward::Test {
+namespace Figward::Testing {
 namespace {
 
 using std::chrono::seconds;
@@ -58,4 +58,4 @@
 }
 
 } // namespace
-} // namespace Figward::Test
+} // namespace Figward::Testing
--- a/test/error/VmStartsWhilePlatformIsDown.cpp
+++ b/test/error/VmStartsWhilePlatformIsDown.cpp
@@ -6,7 +6,7 @@
 
 #include <gmock/gmock.h>
 
-namespace Figward::Test {
+namespace Figward::Testing {
 namespace {
 
 using std::chrono::seconds;
@@ -56,4 +56,4 @@
 }
 
 } // namespace
-} // namespace Figward::Test
+} // namespace Figward::Testing
--- a/test/fuzz/ConfigurationTextMutations.cpp
+++ b/test/fuzz/ConfigurationTextMutations.cpp
@@ -125,7 +125,7 @@
 
 void fuzz(const std::string &example, std::uint64_t seed)
 {
-    const std::string original = Figward::Test::readRepositoryFile(example);
+    const std::string original = Figward::Testing::readRepositoryFile(example);
     Random random(seed);
     unsigned accepted = 0;
     for (unsigned round = 0; round < rounds; ++round) {
--- a/test/fuzz/FleetUnderFaults.cpp
+++ b/test/fuzz/FleetUnderFaults.cpp
@@ -11,7 +11,7 @@
 #include <algorithm>
 #include <map>
 
-namespace Figward::Test {
+namespace Figward::Testing {
 namespace {
 
 using std::chrono::milliseconds;
@@ -199,4 +199,4 @@
 }
 
 } // namespace
-} // namespace Figward::Test
+} // namespace Figward::Testing
--- a/test/performance/FleetMeasure.cpp
+++ b/test/performance/FleetMeasure.cpp
@@ -5,7 +5,7 @@
 
 int main(int argc, char **argv)
 {
-    using namespace Figward::Test;
+    using namespace Figward::Testing;
     const std::string_view what = argc > 1 ? argv[1] : "";
     if (what == "configuration") {
         measureConfiguration();
--- a/test/performance/FleetMeasure.h
+++ b/test/performance/FleetMeasure.h
@@ -3,7 +3,7 @@
  */
 #pragma once
 
-namespace Figward::Test {
+namespace Figward::Testing {
 
 /** How fast a configuration spreads, in a small and a large fleet, by three ways and their sum. */
 void measureConfiguration();
@@ -20,4 +20,4 @@
 /** Memory of a group, a VM in the list, a connection. */
 void measureMemory();
 
-} // namespace Figward::Test
+} // namespace Figward::Testing
--- a/test/performance/FleetMeasureConfiguration.cpp
+++ b/test/performance/FleetMeasureConfiguration.cpp
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <cstdio>
 
-namespace Figward::Test {
+namespace Figward::Testing {
 
 namespace {
 
@@ -105,4 +105,4 @@
     row("530 VMs in 9 zones, 690 services", "push and heartbeats (chosen)", 0, fleet, 690, 2, seconds(10));
 }
 
-} // namespace Figward::Test
+} // namespace Figward::Testing
--- a/test/performance/FleetMeasureOwners.cpp
+++ b/test/performance/FleetMeasureOwners.cpp
@@ -6,7 +6,7 @@
 #include <cstdio>
 #include <numeric>
 
-namespace Figward::Test {
+namespace Figward::Testing {
 
 namespace {
 
@@ -193,4 +193,4 @@
     std::printf("| 35 | %zu | %lu | %lu | %lu | %lu |\n", most, asked, done, refused, asked - done - refused);
 }
 
-} // namespace Figward::Test
+} // namespace Figward::Testing
--- a/test/performance/FleetMeasureSlopes.cpp
+++ b/test/performance/FleetMeasureSlopes.cpp
@@ -7,7 +7,7 @@
 #include <malloc.h>
 #include <memory>
 
-namespace Figward::Test {
+namespace Figward::Testing {
 
 namespace {
 
@@ -160,4 +160,4 @@
     memorySlopes();
 }
 
-} // namespace Figward::Test
+} // namespace Figward::Testing
--- a/test/performance/ProxyOverhead.cpp
+++ b/test/performance/ProxyOverhead.cpp
@@ -12,7 +12,7 @@
 #include <ctime>
 #include <mutex>
 
-namespace Figward::Test {
+namespace Figward::Testing {
 
 namespace {
 
@@ -224,6 +224,6 @@
 
 } // namespace
 
-} // namespace Figward::Test
+} // namespace Figward::Testing
 
 BENCHMARK_MAIN();
--- a/test/support/Fleet.cpp
+++ b/test/support/Fleet.cpp
@@ -9,7 +9,7 @@
 #include <algorithm>
 #include <stdexcept>
 
-namespace Figward::Test {
+namespace Figward::Testing {
 
 namespace {
 
@@ -486,4 +486,4 @@
     return ZoneId("zone-" + std::to_string(zone));
 }
 
-} // namespace Figward::Test
+} // namespace Figward::Testing
--- a/test/support/Fleet.h
+++ b/test/support/Fleet.h
@@ -16,7 +16,7 @@
 #include <string>
 #include <vector>
 
-namespace Figward::Test {
+namespace Figward::Testing {
 
 /** Size and times of a fleet. */
 struct FleetOptions
@@ -155,4 +155,4 @@
 /** Name of a zone. */
 ZoneId zoneName(unsigned zone);
 
-} // namespace Figward::Test
+} // namespace Figward::Testing
--- a/test/support/LoopbackFleet.cpp
+++ b/test/support/LoopbackFleet.cpp
@@ -7,7 +7,7 @@
 #include <iterator>
 #include <thread>
 
-namespace Figward::Test {
+namespace Figward::Testing {
 
 namespace {
 
@@ -195,4 +195,4 @@
     return *log_;
 }
 
-} // namespace Figward::Test
+} // namespace Figward::Testing
--- a/test/support/LoopbackFleet.h
+++ b/test/support/LoopbackFleet.h
@@ -12,7 +12,7 @@
 #include <functional>
 #include <mutex>
 
-namespace Figward::Test {
+namespace Figward::Testing {
 
 /** Keeps the numbers of the log events that were written. */
 class RecordingLog : public LogPort
@@ -75,4 +75,4 @@
     std::vector<std::unique_ptr<ProxyProcess>> proxies_;
 };
 
-} // namespace Figward::Test
+} // namespace Figward::Testing
--- a/test/support/TestFiles.h
+++ b/test/support/TestFiles.h
@@ -8,7 +8,7 @@
 #include <stdexcept>
 #include <string>
 
-namespace Figward::Test {
+namespace Figward::Testing {
 
 /** Contents of the file at \p path, relative to the root of the repository. */
 inline std::string readRepositoryFile(const std::string &path)
@@ -20,4 +20,4 @@
     return {std::istreambuf_iterator<char>(in), {}};
 }
 
-} // namespace Figward::Test
+} // namespace Figward::Testing
