--- a/src/Failover.cpp
+++ b/src/Failover.cpp
@@ -302,19 +302,6 @@
     probeRound(state, owner, now, out);
 }
 
-void handOverTerms(ProxyState &state, GroupOwner &owner, Effects &out)
-{
-    const std::vector<VmInfo> ranking = failoverRanking(state, owner);
-    const auto heir = std::ranges::find_if(ranking, [&](const VmInfo &vm) { return vm.id_ != state.identity_.self_.id_; });
-    if (heir == ranking.end()) {
-        return;
-    }
-    for (const TermBlock &block : owner.failover_.blocks_) {
-        sendPeer(state, *heir, TermHandover{owner.config_.id_, block.first_, block.last_}, out);
-    }
-    owner.failover_.blocks_.clear();
-}
-
 void wakeFailover(ProxyState &state, GroupOwner &owner, Time at)
 {
     if (owner.failover_.wakeAt_ && *owner.failover_.wakeAt_ <= at) {
--- a/src/Failover.h
+++ b/src/Failover.h
@@ -65,8 +65,6 @@
 std::vector<VmInfo> failoverRanking(const ProxyState &state, const GroupOwner &owner);
 /** Takes \p member as primary of \p term, which is higher than the one known or equal with no primary known. */
 void adoptPrimary(ProxyState &state, GroupOwner &owner, Term term, const MemberId &member, Time now, Effects &out);
-/** Hands this owner's blocks to the other owners of its group and forgets them, so that a drained proxy's terms are not lost to the group. */
-void handOverTerms(ProxyState &state, GroupOwner &owner, Effects &out);
 /** Asks for a call of reviewPrimary() at \p at. */
 void wakeFailover(ProxyState &state, GroupOwner &owner, Time at);
 
