A primary is used again only when no promotion can still come through

Change: once a promotion may have been called for, a member of the old term is used only after the platform was asked to name it anew; a member that shows itself in a later term ends authority over the primary of an earlier one.

--- a/src/Effect.h
+++ b/src/Effect.h
@@ -76,18 +76,8 @@
 {
 };
 
-using Effect =
-    std::variant<AnswerCaller,
-                 SendPeer,
-                 OpenConnection,
-                 CloseConnection,
-                 SendStatement,
-                 SendControl,
-                 CallPlatform,
-                 ArmWakeUp,
-                 WriteLog,
-                 ExitProcess,
-                 SessionEffect>;
+using Effect = std::
+    variant<AnswerCaller, SendPeer, OpenConnection, CloseConnection, SendStatement, SendControl, CallPlatform, ArmWakeUp, WriteLog, ExitProcess, SessionEffect>;
 using Effects = std::vector<Effect>;
 
 } // namespace Figward
--- a/src/GroupLeadership.cpp
+++ b/src/GroupLeadership.cpp
@@ -35,9 +35,7 @@
     const MemberId primary = group.seenClaim_ ? group.seenClaim_->primary_ : MemberId();
     const MemberState *primaryMember = findMember(state, primary);
     const ZoneId zone = primaryMember != nullptr ? primaryMember->entry_.zone_ : ZoneId();
-    const auto order = [&](const EntryVm &vm) {
-        return std::pair(vm.zone_ != zone, rendezvousWeight(GroupId(group.id_.value()), vm.incarnation_));
-    };
+    const auto order = [&](const EntryVm &vm) { return std::pair(vm.zone_ != zone, rendezvousWeight(GroupId(group.id_.value()), vm.incarnation_)); };
     const auto mine = order(sessions.identity_.vm_);
     unsigned before = 0;
     for (const auto &[name, peer] : sessions.peers_) {
@@ -123,8 +121,9 @@
     if (!group.leader_) {
         return;
     }
-    out.emplace_back(WriteLog{LogNumber::LeaderLost,
-                              {{"group", group.id_.value()}, {"generation", absl::StrCat(group.leader_->claim_.generation_)}, {"reason", std::string(reason)}}});
+    out.emplace_back(
+        WriteLog{LogNumber::LeaderLost,
+                 {{"group", group.id_.value()}, {"generation", absl::StrCat(group.leader_->claim_.generation_)}, {"reason", std::string(reason)}}});
     group.leader_.reset();
     group.seenClaim_.reset();
 }
--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -68,16 +68,17 @@
             boost::asio::post(stream_.get_executor(), [self = shared_from_this()] { self->finish({}, false); });
             return;
         }
-        stream_.async_connect(boost::asio::ip::tcp::endpoint(address->ip_, address->port_), [self = shared_from_this()](const boost::system::error_code &error) {
-            if (error) {
-                self->finish({}, false);
-                return;
-            }
-            self->connected_ = true;
-            boost::system::error_code ignored; // Slower at worst.
-            self->stream_.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-            self->write();
-        });
+        stream_.async_connect(boost::asio::ip::tcp::endpoint(address->ip_, address->port_),
+                              [self = shared_from_this()](const boost::system::error_code &error) {
+                                  if (error) {
+                                      self->finish({}, false);
+                                      return;
+                                  }
+                                  self->connected_ = true;
+                                  boost::system::error_code ignored; // Slower at worst.
+                                  self->stream_.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+                                  self->write();
+                              });
     }
 
     void write()
--- a/src/LineGroupModel.cpp
+++ b/src/LineGroupModel.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-StatementReply failure(ReplyCode code)
+SessionReply failure(ReplyCode code)
 {
-    StatementReply reply;
+    SessionReply reply;
     reply.code_ = code;
     return reply;
 }
@@ -120,12 +120,12 @@
     return answer;
 }
 
-StatementReply LineGroupModel::runStatement(LineSession &session, LineMember &member, const MemberRequest &request, Time now)
+SessionReply LineGroupModel::runStatement(LineSession &session, LineMember &member, const MemberRequest &request, Time now)
 {
     switch (request.verb_) {
     case MemberVerb::Begin:
     case MemberVerb::BeginRead: {
-        StatementReply reply = begin(session, member, request);
+        SessionReply reply = begin(session, member, request);
         if (reply.code_ == ReplyCode::None) {
             session.inTransaction_ = true;
             session.readOnly_ = request.verb_ == MemberVerb::BeginRead;
@@ -160,15 +160,15 @@
     return {};
 }
 
-StatementReply LineGroupModel::begin(LineSession & /*session*/, const LineMember &member, const MemberRequest &request) const
+SessionReply LineGroupModel::begin(LineSession & /*session*/, const LineMember &member, const MemberRequest &request) const
 {
     if (request.verb_ == MemberVerb::Begin && !member.primary_) {
         return failure(ReplyCode::ReadOnly);
     }
-    return request.after_ && !holds(member.log_, *request.after_) ? failure(ReplyCode::Lagging) : StatementReply{};
+    return request.after_ && !holds(member.log_, *request.after_) ? failure(ReplyCode::Lagging) : SessionReply{};
 }
 
-StatementReply LineGroupModel::work(LineSession &session, LineMember &member, const MemberRequest &request, bool writes, Time now)
+SessionReply LineGroupModel::work(LineSession &session, LineMember &member, const MemberRequest &request, bool writes, Time now)
 {
     if (session.failed_) {
         return failure(ReplyCode::Malformed);
@@ -180,7 +180,7 @@
     if (request.after_ && !holds(member.log_, *request.after_)) {
         return failure(ReplyCode::Lagging);
     }
-    StatementReply reply;
+    SessionReply reply;
     reply.receipt_ = absl::StrCat("receipt-", request.id_);
     if (!writes) {
         reply.rows_.push_back(absl::StrCat(endOf(member).position_.value(), " of ", member.id_.value()));
@@ -192,7 +192,7 @@
     return reply;
 }
 
-StatementReply LineGroupModel::commit(LineSession &session, LineMember &member, const MemberRequest &request, Time now)
+SessionReply LineGroupModel::commit(LineSession &session, LineMember &member, const MemberRequest &request, Time now)
 {
     const bool writes = !session.writes_.empty();
     if (!session.inTransaction_ || session.failed_ || (writes && !member.primary_)) {
@@ -204,7 +204,7 @@
         append(member, session.writes_, now);
     }
     endTransaction(session);
-    StatementReply reply;
+    SessionReply reply;
     reply.receipt_ = absl::StrCat("receipt-", request.id_);
     return reply;
 }
--- a/src/LineGroupModel.h
+++ b/src/LineGroupModel.h
@@ -52,7 +52,7 @@
 /** How a member answered, with the report that STATUS and STEPDOWN carry. */
 struct LineAnswer
 {
-    StatementReply reply_;
+    SessionReply reply_;
     std::optional<ReplicationReport> report_;
 };
 
@@ -85,10 +85,10 @@
     void findNewPrimary(const MemberId &id);
 
 private:
-    StatementReply runStatement(LineSession &session, LineMember &member, const MemberRequest &request, Time now);
-    StatementReply begin(LineSession &session, const LineMember &member, const MemberRequest &request) const;
-    StatementReply work(LineSession &session, LineMember &member, const MemberRequest &request, bool writes, Time now);
-    StatementReply commit(LineSession &session, LineMember &member, const MemberRequest &request, Time now);
+    SessionReply runStatement(LineSession &session, LineMember &member, const MemberRequest &request, Time now);
+    SessionReply begin(LineSession &session, const LineMember &member, const MemberRequest &request) const;
+    SessionReply work(LineSession &session, LineMember &member, const MemberRequest &request, bool writes, Time now);
+    SessionReply commit(LineSession &session, LineMember &member, const MemberRequest &request, Time now);
     void append(LineMember &member, std::vector<std::string> statements, Time now);
 
     std::map<MemberId, LineMember> members_;
--- a/src/MemberConnections.cpp
+++ b/src/MemberConnections.cpp
@@ -61,6 +61,9 @@
     }
     member->position_ = std::max(member->position_, *replied.reply_.position_);
     SessionGroup *group = findGroup(state, connection.service_);
+    if (group != nullptr) {
+        noteTerm(group->authority_, replied.reply_.position_->term_);
+    }
     if (group != nullptr && holdsAuthority(group->authority_, connection.member_, now)) {
         addSample(group->samples_, {connection.sentAt_, *replied.reply_.position_});
     }
--- a/src/PrimaryAuthority.h
+++ b/src/PrimaryAuthority.h
@@ -25,12 +25,15 @@
     MemberId primary_; ///< Of the epoch; empty while none is known.
     Term term_;
     Time validUntil_;
+    Term seen_; ///< Latest term in which any member has shown itself; a primary of an earlier one has been replaced.
 };
 
 /** The leader or the store says that \p primary may be used in \p epoch; the VM asked at \p askedAt. */
 void renewAuthority(PrimaryAuthority &authority, std::uint64_t epoch, const MemberId &primary, Term term, Time askedAt);
 /** No primary of an epoch below \p epoch may be used any more. */
 void revokeAuthority(PrimaryAuthority &authority, std::uint64_t epoch);
+/** A member has shown itself in \p term. */
+void noteTerm(PrimaryAuthority &authority, Term term);
 /** Whether \p member may be used as the primary at \p now. */
 bool holdsAuthority(const PrimaryAuthority &authority, const MemberId &member, Time now);
 /** Whether some primary may be used at \p now. */
--- a/src/PrimaryReplacement.cpp
+++ b/src/PrimaryReplacement.cpp
@@ -32,6 +32,8 @@
 constexpr Duration promotionTime = std::chrono::milliseconds(2500);
 /** Time for the platform to answer a call to promote. */
 constexpr Duration promotionCallTimeout = std::chrono::milliseconds(1000);
+/** A promotion that was called for has taken effect by then, or the member has shown that nothing changed. */
+constexpr Duration promotionSettled = std::chrono::milliseconds(1000);
 /** Pause after a call to promote that failed. */
 constexpr Duration promotionPause = std::chrono::milliseconds(200);
 
@@ -60,7 +62,7 @@
     enter(leader, ReplacementStep::Surveying, now);
     leader.surveyAt_ = now;
     leader.target_.reset();
-    leader.promotionAccepted_ = false;
+    leader.promotionAccepted_.reset();
 }
 
 bool knowsLeaving(const MemberState *member)
@@ -68,13 +70,27 @@
     return member == nullptr || member->entry_.leaving_;
 }
 
+/** What a member said in the present survey. */
+const ReplicationReport *currentReport(const LeaderState &leader, const MemberState &member)
+{
+    return member.report_ && leader.surveyAt_ && member.reported_ >= *leader.surveyAt_ ? &*member.report_ : nullptr;
+}
+
+/** Whether the old primary still leads by its own word while it is not known whether another was promoted: naming it anew decides that. */
+bool mayBeNamedAnew(const LeaderState &leader, const MemberState &member)
+{
+    const ReplicationReport *report = currentReport(leader, member);
+    return leader.promotionIssued_ && !leader.planned_ && report != nullptr && report->primary_;
+}
+
 /** Members that could take over. */
 std::vector<const MemberState *> successors(ProxyState &state, const SessionGroup &group)
 {
     std::vector<const MemberState *> found;
     for (const MemberId &id : group.members_) {
         const MemberState *member = findMember(state, id);
-        if (member != nullptr && !member->entry_.leaving_ && id != group.leader_->claim_.primary_) {
+        const bool eligible = member != nullptr && !member->entry_.leaving_;
+        if (eligible && (id != group.leader_->claim_.primary_ || mayBeNamedAnew(*group.leader_, *member))) {
             found.push_back(member);
         }
     }
@@ -118,6 +134,15 @@
     return fresh * 2 >= known;
 }
 
+/** A member holds commits of a later term than the primary's: another was promoted, by a call that came through late. */
+bool laterTermSeen(ProxyState &state, const SessionGroup &group)
+{
+    return std::ranges::any_of(group.members_, [&](const MemberId &id) {
+        const MemberState *member = findMember(state, id);
+        return member != nullptr && group.leader_->claim_.term_ < member->position_.term_;
+    });
+}
+
 std::optional<std::string_view> reasonToReplace(ProxyState &state, const SessionGroup &group, Time now)
 {
     const LeaderState &leader = *group.leader_;
@@ -125,6 +150,9 @@
     if (now - leader.leadSince_ < listenFirst || successors(state, group).empty()) {
         return std::nullopt;
     }
+    if (laterTermSeen(state, group)) {
+        return "a member is in a later term";
+    }
     if (primary != nullptr && primary->entry_.leaving_) {
         return "the primary leaves";
     }
@@ -147,6 +175,7 @@
     leader.claim_.phase_ = ClaimPhase::Replacing;
     leader.revokeStored_.reset();
     leader.planned_ = planned;
+    leader.promotionIssued_ = false;
     leader.replacementSince_ = now;
     enter(leader, ReplacementStep::Revoking, now);
     revokeAuthority(group.authority_, leader.claim_.epoch_);
@@ -177,6 +206,10 @@
     }
     const bool ranOut = now - *leader.revokeStored_ > authorityTime + authorityMargin;
     // The list that was asked for when the store confirmed the revocation: it names every VM that could have authority from the store.
+    const bool settling = leader.promotionIssued_ && now - leader.leadSince_ < promotionSettled;
+    if (settling) {
+        return; // A promotion that a leader before this one called for may take effect yet.
+    }
     const bool listed = state.sessions_->schedule_.vmsReadAt_ >= *leader.revokeStored_;
     if (!ranOut && !(listed && allConfirmed(state, group))) {
         return;
@@ -185,12 +218,6 @@
     beginSurvey(leader, now);
 }
 
-/** What a member said in the present survey. */
-const ReplicationReport *currentReport(const LeaderState &leader, const MemberState &member)
-{
-    return member.report_ && leader.surveyAt_ && member.reported_ >= *leader.surveyAt_ ? &*member.report_ : nullptr;
-}
-
 void askAll(ProxyState &state, SessionGroup &group, Time now, Effects &out)
 {
     for (const MemberId &id : group.members_) {
@@ -224,7 +251,9 @@
     for (const MemberId &id : group.members_) {
         const MemberState *member = findMember(state, id);
         const ReplicationReport *report = member == nullptr ? nullptr : currentReport(leader, *member);
-        if (report == nullptr || !report->primary_ || report->term_ < leader.claim_.term_) {
+        // Once a promotion was called for, a member that leads the old term may be replaced at any moment, or be so already.
+        const Term lowest = leader.promotionIssued_ ? Term(leader.claim_.term_.value() + 1) : leader.claim_.term_;
+        if (report == nullptr || !report->primary_ || report->term_ < lowest) {
             continue;
         }
         const std::optional<PositionSample> sample = newestSample(group.samples_);
@@ -281,7 +310,8 @@
 {
     LeaderState &leader = *group.leader_;
     leader.target_ = target;
-    leader.promotionAccepted_ = false;
+    leader.promotionAccepted_.reset();
+    leader.promotionIssued_ = true;
     enter(leader, ReplacementStep::Promoting, now);
     leader.promoteAfter_ = now + promotionCallTimeout + promotionPause;
     logStep(group, LogNumber::PromotionCalled, "fullest of those that reported", now, out);
@@ -319,8 +349,10 @@
     if (now - target->controlAsked_ >= reportInterval) {
         askMemberReport(state, *target, now, out);
     }
-    const bool leads = target->report_ && target->reported_ >= leader.stepSince_ && target->report_->primary_ && leader.claim_.term_ < target->report_->term_;
-    if (leads) {
+    const bool reports = target->report_ && target->reported_ >= leader.stepSince_ && target->report_->primary_;
+    // The call changes nothing for a member that leads already: that is sure once a change would have been seen.
+    const bool unchanged = leader.promotionAccepted_ && target->reported_ > *leader.promotionAccepted_ + promotionSettled;
+    if (reports && (leader.claim_.term_ < target->report_->term_ || unchanged)) {
         settleOn(state, group, target->entry_.id_, target->report_->term_, "promoted", now, out);
     }
 }
@@ -342,6 +374,7 @@
     revokeAuthority(group.authority_, leader.claim_.epoch_);
     leader.replacementSince_ = now;
     leader.revokeStored_ = now; // The claim that was just written says so.
+    leader.promotionIssued_ = leader.claim_.generation_ > 1;
     enter(leader, ReplacementStep::Revoking, now);
 }
 
@@ -383,7 +416,7 @@
     }
     constexpr unsigned accepted = 200;
     if (answer.status_ == accepted) {
-        group->leader_->promotionAccepted_ = true;
+        group->leader_->promotionAccepted_ = now;
         return;
     }
     logStep(*group, LogNumber::PromotionFailed, absl::StrCat("status ", answer.status_), now, out);
--- a/src/Reducer.cpp
+++ b/src/Reducer.cpp
@@ -111,7 +111,7 @@
         [&](const ControlAnswered &body) { onControlAnswered(state, body.answer_, now, out); },
         [&](const PlatformAnswered &body) { onPlatformAnswered(state, body.answer_, now, out); },
         [&](const DrainAsked &) { onDrainAsked(state, now, out); },
-        [&](const SessionEvent &) { }, // Of a process that serves sessions.
+        [&](const SessionEvent &) {}, // Of a process that serves sessions.
     };
     std::visit(handle, event.body_);
 }
@@ -127,7 +127,7 @@
         [&](const ConnectionLost &body) { onMemberDisconnected(state, body, now, out); },
         [&](const DrainAsked &) { drainSessions(state, now, out); },
         [&](const SessionEvent &body) { onSessionEvent(state, body, now, out); },
-        [](const auto &) { }, // Of the other roles.
+        [](const auto &) {}, // Of the other roles.
     };
     std::visit(handle, event.body_);
     settleSessions(state, now, out);
--- a/src/SessionEvents.h
+++ b/src/SessionEvents.h
@@ -31,7 +31,7 @@
 struct MemberReplyArrived
 {
     ConnectionId connection_;
-    StatementReply reply_;
+    SessionReply reply_;
     std::optional<ReplicationReport> report_; ///< Of Status and StepDown.
 };
 
@@ -172,7 +172,7 @@
 struct AnswerSession
 {
     SessionKey session_;
-    StatementReply reply_;
+    SessionReply reply_;
 };
 /** Closes a session after what was answered. */
 struct CloseSession
@@ -207,7 +207,6 @@
     bool ready_ = false;
 };
 
-using SessionEffect =
-    std::variant<AcceptSession, RefuseSession, AnswerSession, CloseSession, SendToMember, SendHeartbeat, CallStore, CallPromotion, SetReady>;
+using SessionEffect = std::variant<AcceptSession, RefuseSession, AnswerSession, CloseSession, SendToMember, SendHeartbeat, CallStore, CallPromotion, SetReady>;
 
 } // namespace Figward
--- a/src/SessionHeartbeats.cpp
+++ b/src/SessionHeartbeats.cpp
@@ -73,7 +73,8 @@
         return false; // Overtaken by a later one, which said more.
     }
     if (unknown) {
-        out.emplace_back(WriteLog{LogNumber::VmSeen, {{"vm", heartbeat.name_}, {"incarnation", absl::StrCat(heartbeat.from_.value())}, {"address", heartbeat.address_}}});
+        out.emplace_back(
+            WriteLog{LogNumber::VmSeen, {{"vm", heartbeat.name_}, {"incarnation", absl::StrCat(heartbeat.from_.value())}, {"address", heartbeat.address_}}});
         peer.groups_.clear();
     }
     peer.vm_ = EntryVm{heartbeat.name_, heartbeat.from_, heartbeat.address_, heartbeat.zone_};
--- a/src/SessionState.h
+++ b/src/SessionState.h
@@ -135,7 +135,8 @@
     std::optional<Time> revokeStored_; ///< The store has the revocation since.
     std::optional<Time> surveyAt_; ///< Reports sent before count as none.
     std::optional<MemberId> target_;
-    bool promotionAccepted_ = false;
+    std::optional<Time> promotionAccepted_; ///< When the platform confirmed the call for target_.
+    bool promotionIssued_ = false; ///< This leader or one before it may have called for a promotion since the last steady primary.
     Time promoteAfter_;
     Time leadSince_;
 };
--- a/src/SessionStatements.cpp
+++ b/src/SessionStatements.cpp
@@ -34,7 +34,13 @@
     return found == state.sessions_->sessions_.end() ? nullptr : &found->second;
 }
 
-void logStatement(const ClientSession &session, const StatementRun &run, LogNumber number, std::string_view outcome, std::string_view reason, Time now, Effects &out)
+void logStatement(const ClientSession &session,
+                  const StatementRun &run,
+                  LogNumber number,
+                  std::string_view outcome,
+                  std::string_view reason,
+                  Time now,
+                  Effects &out)
 {
     out.emplace_back(WriteLog{number,
                               {{"id", run.statement_.id_},
@@ -46,7 +52,7 @@
                                {"ms", absl::StrCat(toMillis(now - run.arrived_))}}});
 }
 
-void answer(const ClientSession &session, StatementReply reply, Effects &out)
+void answer(const ClientSession &session, SessionReply reply, Effects &out)
 {
     reply.state_ = session.state_;
     reply.position_.reset();
@@ -55,14 +61,14 @@
 
 void answerDone(const ClientSession &session, Effects &out)
 {
-    StatementReply reply;
+    SessionReply reply;
     reply.receipt_ = "-";
     answer(session, std::move(reply), out);
 }
 
 void answerError(const ClientSession &session, ReplyCode code, std::string text, Effects &out)
 {
-    StatementReply reply;
+    SessionReply reply;
     reply.code_ = code;
     reply.text_ = std::move(text);
     answer(session, std::move(reply), out);
@@ -142,12 +148,13 @@
 void nextStatement(ProxyState &state, ClientSession &session, Time now, Effects &out);
 
 /** Ends the statement with \p reply; the session's state has been set. */
-void finish(ProxyState &state, ClientSession &session, StatementReply reply, Time now, Effects &out)
+void finish(ProxyState &state, ClientSession &session, SessionReply reply, Time now, Effects &out)
 {
     const StatementRun run = *std::exchange(session.run_, std::nullopt);
     const bool plain = reply.code_ == ReplyCode::None;
     if (!plain || now - run.arrived_ > slowStatement || run.tries_ > 1) {
-        const LogNumber number = plain ? LogNumber::StatementSlow : (reply.code_ == ReplyCode::InDoubt ? LogNumber::StatementInDoubt : LogNumber::StatementRefused);
+        const LogNumber number =
+            plain ? LogNumber::StatementSlow : (reply.code_ == ReplyCode::InDoubt ? LogNumber::StatementInDoubt : LogNumber::StatementRefused);
         logStatement(session, run, number, toString(reply.code_), reply.text_, now, out);
     }
     answer(session, std::move(reply), out);
@@ -175,7 +182,7 @@
         session.state_ = ends ? TransactionState::None : TransactionState::Failed;
         code = code == ReplyCode::Retry ? ReplyCode::Aborted : code;
     }
-    StatementReply reply;
+    SessionReply reply;
     reply.code_ = code;
     reply.text_ = std::move(text);
     finish(state, session, std::move(reply), now, out);
@@ -192,7 +199,7 @@
     const bool ends = session.run_->statement_.kind_ == StatementKind::Commit;
     endTransaction(session);
     session.state_ = inTransaction && !ends ? TransactionState::Failed : TransactionState::None;
-    StatementReply reply;
+    SessionReply reply;
     reply.code_ = code;
     reply.text_ = std::move(text);
     finish(state, session, std::move(reply), now, out);
@@ -308,7 +315,8 @@
     const Placement placement = placeStatement(options);
     if (placement.open_) {
         MemberState &member = *findMember(state, *placement.open_);
-        const bool opens = std::ranges::any_of(member.connections_, [&](ConnectionId id) { return findConnection(state, id)->use_ == MemberConnectionUse::Opening; });
+        const bool opens =
+            std::ranges::any_of(member.connections_, [&](ConnectionId id) { return findConnection(state, id)->use_ == MemberConnectionUse::Opening; });
         if (!opens) {
             openMemberConnection(state, member, false, now, out);
         }
@@ -483,7 +491,7 @@
 }
 
 /** Takes the answer of the statement itself as good. */
-void completeStatement(ProxyState &state, ClientSession &session, MemberConnection &connection, const StatementReply &reply, Time now, Effects &out)
+void completeStatement(ProxyState &state, ClientSession &session, MemberConnection &connection, const SessionReply &reply, Time now, Effects &out)
 {
     const StatementRun &run = *session.run_;
     const SessionGroup &group = *findGroup(state, session.route_.service_);
@@ -522,7 +530,13 @@
 }
 
 /** A member refused the statement, or what prepares its connection. */
-void onRefusal(ProxyState &state, ClientSession &session, MemberConnection &connection, const MemberRequest &request, const StatementReply &reply, Time now, Effects &out)
+void onRefusal(ProxyState &state,
+               ClientSession &session,
+               MemberConnection &connection,
+               const MemberRequest &request,
+               const SessionReply &reply,
+               Time now,
+               Effects &out)
 {
     const MemberId member = connection.member_;
     if (reply.code_ == ReplyCode::Lagging) {
@@ -654,7 +668,7 @@
     }
 }
 
-void onStepAnswered(ProxyState &state, MemberConnection &connection, const MemberRequest &request, const StatementReply &reply, Time now, Effects &out)
+void onStepAnswered(ProxyState &state, MemberConnection &connection, const MemberRequest &request, const SessionReply &reply, Time now, Effects &out)
 {
     ClientSession *session = connection.session_ ? findSession(state, *connection.session_) : nullptr;
     if (session == nullptr || !session->run_) {
@@ -670,7 +684,12 @@
     }
 }
 
-void onSessionConnectionLost(ProxyState &state, SessionKey key, const std::optional<MemberRequest> & /*request*/, const MemberId &member, Time now, Effects &out)
+void onSessionConnectionLost(ProxyState &state,
+                             SessionKey key,
+                             const std::optional<MemberRequest> & /*request*/,
+                             const MemberId &member,
+                             Time now,
+                             Effects &out)
 {
     ClientSession *session = findSession(state, key);
     if (session == nullptr) {
@@ -732,7 +751,8 @@
         if (readAlone && now - session.run_->sentAt_ > readSilence && !session.run_->moved_) {
             silent.push_back(key);
         }
-        if (!session.run_ && session.state_ == TransactionState::Open && session.pinned_ && now - session.lastActive_ > state.sessions_->configuration_->transactionIdle_) {
+        if (!session.run_ && session.state_ == TransactionState::Open && session.pinned_
+            && now - session.lastActive_ > state.sessions_->configuration_->transactionIdle_) {
             resting.push_back(key);
         }
     }
--- a/src/SessionStatements.h
+++ b/src/SessionStatements.h
@@ -23,9 +23,14 @@
 /** Finds connections for statements that wait. */
 void dispatchStatements(ProxyState &state, SessionGroup &group, Time now, Effects &out);
 /** A request on the connection of a session's statement was answered. */
-void onStepAnswered(ProxyState &state, MemberConnection &connection, const MemberRequest &request, const StatementReply &reply, Time now, Effects &out);
+void onStepAnswered(ProxyState &state, MemberConnection &connection, const MemberRequest &request, const SessionReply &reply, Time now, Effects &out);
 /** The connection of a session is gone; \p request was under way on it. */
-void onSessionConnectionLost(ProxyState &state, SessionKey session, const std::optional<MemberRequest> &request, const MemberId &member, Time now, Effects &out);
+void onSessionConnectionLost(ProxyState &state,
+                             SessionKey session,
+                             const std::optional<MemberRequest> &request,
+                             const MemberId &member,
+                             Time now,
+                             Effects &out);
 /** Whether the next step of a session's connection may still be sent; if not, the statement is given another way. */
 bool mayStillSend(ProxyState &state, MemberConnection &connection, const MemberRequest &step, Time now, Effects &out);
 /** Ends transactions that rest for too long and gives statements to other members where one is silent. */
--- a/src/SessionTypes.h
+++ b/src/SessionTypes.h
@@ -66,7 +66,7 @@
 constexpr bool promisesNotRun(ReplyCode code)
 {
     return code == ReplyCode::Retry || code == ReplyCode::Lagging || code == ReplyCode::ReadOnly || code == ReplyCode::Misrouted || code == ReplyCode::TooMany
-        || code == ReplyCode::NoStatement;
+           || code == ReplyCode::NoStatement;
 }
 
 /** Name of \p code in logs, such as "in-doubt". */
@@ -80,7 +80,7 @@
 };
 
 /** An answer to one statement, from a member or to a client. */
-struct StatementReply
+struct SessionReply
 {
     std::vector<std::string> rows_;
     ReplyCode code_ = ReplyCode::None;
--- a/src/StatementPlacement.cpp
+++ b/src/StatementPlacement.cpp
@@ -19,8 +19,8 @@
 
 double cost(const PlacementOption &option)
 {
-    return static_cast<double>(option.busy_) + (option.sameZone_ ? 0.0 : otherZone) + (option.primary_ ? primaryRoom : 0.0)
-        + (option.lagging_ ? lagging : 0.0) + (option.leaving_ ? leaving : 0.0) + (option.suspect_ ? suspect : 0.0);
+    return static_cast<double>(option.busy_) + (option.sameZone_ ? 0.0 : otherZone) + (option.primary_ ? primaryRoom : 0.0) + (option.lagging_ ? lagging : 0.0)
+           + (option.leaving_ ? leaving : 0.0) + (option.suspect_ ? suspect : 0.0);
 }
 
 } // namespace
--- a/src/StoreReads.cpp
+++ b/src/StoreReads.cpp
@@ -150,7 +150,8 @@
 /** Forgets that a call is under way. */
 void clearSlots(StoreSchedule &schedule, CallId id)
 {
-    for (std::optional<CallId> *slot : {&schedule.members_, &schedule.configuration_, &schedule.watch_, &schedule.vms_, &schedule.claims_, &schedule.register_}) {
+    for (std::optional<CallId> *slot :
+         {&schedule.members_, &schedule.configuration_, &schedule.watch_, &schedule.vms_, &schedule.claims_, &schedule.register_}) {
         if (*slot == id) {
             slot->reset();
         }
--- a/test/correctness/SessionsReadAndWrite.cpp
+++ b/test/correctness/SessionsReadAndWrite.cpp
@@ -103,7 +103,7 @@
         world.ask(writer, StatementKind::Write, "WRITE a 1");
         const unsigned vm = round % 3;
         const std::size_t client = world.open(vm, "history");
-        const StatementReply reply = world.ask(client, StatementKind::Read, "READ a");
+        const SessionReply reply = world.ask(client, StatementKind::Read, "READ a");
         ASSERT_THAT(reply.rows_, SizeIs(1));
         EXPECT_THAT(reply.rows_.front(), EndsWith(SessionWorld::memberId(vm).value())) << "idle members: that of the VM's own zone";
     }
--- a/test/fuzz/LineSessionsUnderFaults.cpp
+++ b/test/fuzz/LineSessionsUnderFaults.cpp
@@ -35,7 +35,7 @@
             inTransaction_ = false;
             return;
         }
-        const StatementReply *reply = id_.empty() ? nullptr : world_.answerTo(*session_, id_);
+        const SessionReply *reply = id_.empty() ? nullptr : world_.answerTo(*session_, id_);
         if (!id_.empty() && reply == nullptr) {
             return;
         }
--- a/test/support/SessionWorld.cpp
+++ b/test/support/SessionWorld.cpp
@@ -272,7 +272,8 @@
 void SessionWorld::sendToMember(unsigned vm, const SendToMember &effect)
 {
     const std::uint64_t incarnation = vms_[vm].incarnation_;
-    const bool works = effect.request_.verb_ == MemberVerb::Forward || effect.request_.verb_ == MemberVerb::Execute || effect.request_.verb_ == MemberVerb::Commit;
+    const bool works =
+        effect.request_.verb_ == MemberVerb::Forward || effect.request_.verb_ == MemberVerb::Execute || effect.request_.verb_ == MemberVerb::Commit;
     const Duration work = works ? config_.workTime_ : Duration(0);
     schedule(now_ + config_.networkDelay_ + work, [this, vm, incarnation, effect] { runAtMember(vm, incarnation, effect); });
 }
@@ -373,7 +374,9 @@
             if (!cut) {
                 execute(call);
             }
-            schedule(now_ + call.timeout_, [this, vm, incarnation, call] { give(vm, incarnation, SessionEvent(StoreAnswered{call.id_, StoreResult::Unknown, {}})); });
+            schedule(now_ + call.timeout_, [this, vm, incarnation, call] {
+                give(vm, incarnation, SessionEvent(StoreAnswered{call.id_, StoreResult::Unknown, {}}));
+            });
             return;
         }
         StoreAnswered answer = execute(call);
@@ -401,9 +404,13 @@
     Store &store = stale_ && call.freshness_ == Freshness::MayBeStale ? *stale_ : store_;
     StoreAnswered answer{call.id_, StoreResult::Done, {}};
     const Overloaded handle{
-        [&](const ReadConfiguration &) { answer.content_ = ConfigurationRead{store.configurationRevision_, store.configuration_}; },
+        [&](const ReadConfiguration &) {
+            answer.content_ = ConfigurationRead{store.configurationRevision_, store.configuration_};
+        },
         [&](const WatchConfiguration &) {},
-        [&](const ReadMembers &) { answer.content_ = MemberDirectory{++store.revision_, store.members_, 0}; },
+        [&](const ReadMembers &) {
+            answer.content_ = MemberDirectory{++store.revision_, store.members_, 0};
+        },
         [&](const ReadVms &) {
             std::vector<EntryVm> vms;
             for (const auto &[name, vm] : store.vms_) {
@@ -534,22 +541,22 @@
     give(clients_[client].vm_, SessionEvent(SessionClosed{clients_[client].key_}));
 }
 
-const StatementReply *SessionWorld::answerTo(std::size_t client, const std::string &id) const
+const SessionReply *SessionWorld::answerTo(std::size_t client, const std::string &id) const
 {
     const std::vector<ClientAnswer> &answers = clients_[client].answers_;
     const auto found = std::ranges::find(answers.rbegin(), answers.rend(), id, &ClientAnswer::id_);
     return found == answers.rend() ? nullptr : &found->reply_;
 }
 
-StatementReply SessionWorld::ask(std::size_t client, StatementKind kind, const std::string &text, Duration limit)
+SessionReply SessionWorld::ask(std::size_t client, StatementKind kind, const std::string &text, Duration limit)
 {
     const std::string id = send(client, kind, text);
     const Time end = now_ + limit;
     while (answerTo(client, id) == nullptr && now_ < end) {
         run(std::chrono::milliseconds(1));
     }
-    const StatementReply *reply = answerTo(client, id);
-    StatementReply none;
+    const SessionReply *reply = answerTo(client, id);
+    SessionReply none;
     none.code_ = ReplyCode::Other;
     none.text_ = "no answer";
     return reply == nullptr ? none : *reply;
@@ -643,7 +650,16 @@
         const bool counts = route.consistency_ == Consistency::Primary || own || age > route.maxStaleness_;
         const bool rolledBack = !Standin::holds(leader.log_, commit.point_);
         if (before && counts && !rolledBack) {
-            violate(absl::StrCat("read ", answer.id_, " of ", client.database_, " at ", answer.reply_.rows_.front(), " lacks ", commit.id_, " at ", commit.point_.position_.value()));
+            violate(absl::StrCat("read ",
+                                 answer.id_,
+                                 " of ",
+                                 client.database_,
+                                 " at ",
+                                 answer.reply_.rows_.front(),
+                                 " lacks ",
+                                 commit.id_,
+                                 " at ",
+                                 commit.point_.position_.value()));
             return;
         }
     }
--- a/test/support/SessionWorld.h
+++ b/test/support/SessionWorld.h
@@ -37,7 +37,7 @@
 struct ClientAnswer
 {
     std::string id_;
-    StatementReply reply_;
+    SessionReply reply_;
     Time at_;
 };
 
@@ -76,9 +76,9 @@
     void send(std::size_t client, const ClientStatement &statement);
     void close(std::size_t client);
     /** The answer to \p id, if it has come. */
-    [[nodiscard]] const StatementReply *answerTo(std::size_t client, const std::string &id) const;
+    [[nodiscard]] const SessionReply *answerTo(std::size_t client, const std::string &id) const;
     /** Sends a statement and lets time pass until it is answered, \p limit at most. */
-    StatementReply ask(std::size_t client, StatementKind kind, const std::string &text = {}, Duration limit = std::chrono::seconds(3));
+    SessionReply ask(std::size_t client, StatementKind kind, const std::string &text = {}, Duration limit = std::chrono::seconds(3));
     [[nodiscard]] const WorldClient &client(std::size_t client) const;
 
     // Faults
--- a/test/support/World.h
+++ b/test/support/World.h
@@ -206,7 +206,9 @@
     void execute(ProxyIndex proxy, const ArmWakeUp &effect);
     void execute(ProxyIndex proxy, const WriteLog &effect);
     void execute(ProxyIndex proxy, const ExitProcess &effect);
-    void execute(ProxyIndex /*proxy*/, const SessionEffect & /*effect*/) { } // These proxies speak figward's own protocol only.
+    void execute(ProxyIndex /*proxy*/, const SessionEffect & /*effect*/)
+    {
+    } // These proxies speak figward's own protocol only.
     void sendOnLink(std::size_t group, Standin::LinkId link, Place from, Place to, const UpstreamStatement &statement);
     void loseLink(std::size_t group, Standin::LinkId link, Place proxyPlace, Place memberPlace);
     void onStatementReply(std::size_t group, const Standin::StatementReply &reply);
