Steps of a transaction are held against the session's token

Cause: a read inside a transaction ran at a primary that had been replaced although its token named a later term (fuzz seeds 500004, 1000020, 3000058, 3002833): only statements outside transactions were compared with the token. Change: a step whose token is of a later term than the transaction's primary finds the transaction lost. The four seeds fail without the change and pass with it; they stay as tests.

--- a/src/OwnerRequests.cpp
+++ b/src/OwnerRequests.cpp
@@ -1,5 +1,6 @@
 #include "OwnerRequests.h"
 
+#include "MemberChoice.h"
 #include "OwnerDispatch.h"
 #include "OwnerTransactions.h"
 #include "ProxyState.h"
@@ -130,6 +131,20 @@
     return owner.requests_.byTicket_.empty() && owner.requests_.transactions_.empty() && owner.requests_.sent_.empty();
 }
 
+/**
+ * Whether the request is a step of a transaction that was begun at a primary of an earlier term than the session's token names. That primary has been
+ * replaced: a read there would lack what the session has written since, and a commit could not be acknowledged.
+ */
+bool isOutdatedStep(const GroupOwner &owner, const OwnedRequest &owned)
+{
+    const auto transaction = owner.requests_.transactions_.find(transactionKeyOf(owned));
+    if (!isTransactionStep(owned.request_) || transaction == owner.requests_.transactions_.end()) {
+        return false;
+    }
+    const std::optional<LogPoint> after = needsOf(owned.request_, owner.config_.id_).after_;
+    return after && transaction->second.term_ < after->term_;
+}
+
 } // namespace
 
 void acceptRequest(ProxyState &state, const PeerMessage &message, const ForwardRequest &forward, Time now, Effects &out)
@@ -143,6 +158,10 @@
     if (isRepeated(owner, owned)) {
         return;
     }
+    if (owner != nullptr && isOutdatedStep(*owner, owned)) {
+        // The step is refused below, as one of a transaction that is lost.
+        loseTransaction(state, *owner, transactionKeyOf(owned), out);
+    }
     const ErrorKind refusal = checkAcceptable(state, owner, owned);
     if (refusal != ErrorKind::None) {
         refuse(state, owned.origin_, refusal, std::nullopt, out);
--- a/test/fuzz/SessionsUnderFaults.cpp
+++ b/test/fuzz/SessionsUnderFaults.cpp
@@ -35,6 +35,15 @@
 
 // Seeds that have shown a fault stay here unchanged.
 
+// A session opens a transaction at a primary that is then replaced, writes at the new one, and reads inside the old transaction.
+// The old primary's owner does not know of the new term yet; the session's token does. The read must not run where its own write is missing.
+TEST(SessionsUnderFaults, readInATransactionIsHeldAgainstTheToken)
+{
+    for (const std::uint64_t seed : {500004, 1000020, 3000058, 3002833}) {
+        expectNoFinding({.firstSeed_ = seed, .seeds_ = 1, .longest_ = 200});
+    }
+}
+
 // A caller is told "unknown", asks again by the same key at another proxy, and is told "not run" by one that refused this attempt early.
 // It knows nothing of the first attempt, which a cut has held back and which reaches the group afterwards: the write runs.
 TEST(SessionsUnderFaults, repeatOfAnUnknownWriteIsNotToldNotRun)
