Half of a VM's connections are for ordinary load; a claim ends when its leader last said

Change: connections above half of the share open only for statements that have waited 30 ms, and are closed after 6 s at rest. Change: heartbeats name the renewal that the claim's end counts from. Tests of the line protocol, of malformed input, of placement.

--- a/src/GroupLeadership.cpp
+++ b/src/GroupLeadership.cpp
@@ -57,7 +57,9 @@
     if (seen.leaderName_ == self.name_) {
         return true; // The process that this one follows on the same VM, or a claim of its own whose answer was lost.
     }
-    return now - group.seenClaimChanged_ > claimTime + claimMargin;
+    // Not renewed since the leader last spoke of it: its own word says when it ends. Should it be renewed yet, the store refuses to replace it.
+    const bool asLastSaid = seen.generation_ == group.leaderGeneration_ && seen.renewals_ == group.leaderRenewals_;
+    return now - group.seenClaimChanged_ > claimTime + claimMargin || (asLastSaid && now > group.claimEnds_ + claimMargin);
 }
 
 /** The claim that this VM would make. */
@@ -176,6 +178,7 @@
     }
     if (done) {
         leader.validUntil_ = std::max(leader.validUntil_, sentAt + claimTime);
+        leader.confirmedRenewals_ = std::max(leader.confirmedRenewals_, write.claim_.renewals_);
         const bool revoked = write.claim_.phase_ == ClaimPhase::Replacing && write.claim_.epoch_ == leader.claim_.epoch_;
         if (revoked && !leader.revokeStored_) {
             leader.revokeStored_ = now;
--- a/src/MemberConnections.cpp
+++ b/src/MemberConnections.cpp
@@ -4,6 +4,7 @@
 #include "ProxyState.h"
 #include "SessionService.h"
 #include "SessionStatements.h"
+#include "StatementPlacement.h"
 #include "StatementSteps.h"
 
 #include <absl/strings/str_cat.h>
@@ -24,6 +25,8 @@
 constexpr Duration releaseTimeout = std::chrono::milliseconds(1500);
 /** Control connections rest this long before they are closed. */
 constexpr Duration controlIdle = std::chrono::seconds(20);
+/** Connections above ordinary load rest this long before they are closed: bursts come in waves of some seconds. */
+constexpr Duration spareIdle = std::chrono::seconds(6);
 
 void makeIdle(ProxyState &state, MemberConnection &connection, Time now)
 {
@@ -163,6 +166,17 @@
     return false;
 }
 
+/** Closes connections that were opened for a burst and have rested since. */
+void closeSpare(ProxyState &state, MemberState &member, Time now, Effects &out)
+{
+    const auto limits = state.sessions_->configuration_->services_.find(member.entry_.service_);
+    const unsigned limit = limits == state.sessions_->configuration_->services_.end() ? 0 : limits->second.maxConnections_;
+    const unsigned ordinary = connectionsAllowed(connectionShare(limit, countEntryVms(state, now)), Duration(0));
+    if (member.connections_.size() > ordinary && !member.idle_.empty() && now - findConnection(state, member.idle_.front())->idleSince_ > spareIdle) {
+        closeMemberConnection(state, member.idle_.front(), out);
+    }
+}
+
 } // namespace
 
 MemberConnection *findConnection(ProxyState &state, ConnectionId connection)
@@ -327,6 +341,11 @@
 
 void reviewMemberConnections(ProxyState &state, Time now, Effects &out)
 {
+    for (auto &[id, member] : state.sessions_->members_) {
+        if (state.sessions_->configuration_) {
+            closeSpare(state, member, now, out);
+        }
+    }
     std::vector<ConnectionId> silent;
     std::vector<ConnectionId> orphaned;
     for (const auto &[id, connection] : state.sessions_->connections_) {
--- a/src/SessionEvents.h
+++ b/src/SessionEvents.h
@@ -48,7 +48,8 @@
     ClaimPhase phase_ = ClaimPhase::Replacing;
     MemberId primary_;
     Term term_;
-    Duration claimLeft_{}; ///< Time that the leader's claim holds at least.
+    Duration claimLeft_{}; ///< Time for which the leader relies on its claim.
+    std::uint64_t renewals_ = 0; ///< The renewal of the claim that claimLeft_ counts from.
 };
 
 /** What VMs tell each other several times a second, by datagram: may be lost, late, or arrive twice. */
--- a/src/SessionHeartbeats.cpp
+++ b/src/SessionHeartbeats.cpp
@@ -40,6 +40,7 @@
         beat.primary_ = leader.claim_.primary_;
         beat.term_ = leader.claim_.term_;
         beat.claimLeft_ = leader.validUntil_ - now;
+        beat.renewals_ = leader.confirmedRenewals_;
     }
     return beat;
 }
@@ -93,6 +94,8 @@
 {
     group.leaderHeard_ = now;
     group.claimEnds_ = now + beat.claimLeft_;
+    group.leaderGeneration_ = beat.generation_;
+    group.leaderRenewals_ = beat.renewals_;
     if (beat.phase_ == ClaimPhase::Replacing) {
         revokeAuthority(group.authority_, beat.epoch_);
     } else if (echoed) {
--- a/src/SessionState.h
+++ b/src/SessionState.h
@@ -124,6 +124,7 @@
 {
     LeaderClaim claim_; ///< As last written.
     Time validUntil_; ///< Others may take the claim after this.
+    std::uint64_t confirmedRenewals_ = 0; ///< The renewal that validUntil_ counts from.
     std::optional<CallId> write_; ///< A write of the claim is under way.
     bool writeWanted_ = false;
     Time writeAfter_; ///< No write before.
@@ -150,7 +151,9 @@
     PositionSamples samples_;
     std::optional<LeaderClaim> seenClaim_; ///< As last read from the store.
     Time seenClaimChanged_; ///< When it was first seen as it is.
-    Time claimEnds_; ///< By the leader's word.
+    Time claimEnds_; ///< By the leader's last word, which counted from the renewal below.
+    std::uint64_t leaderGeneration_ = 0;
+    std::uint64_t leaderRenewals_ = 0;
     Time leaderHeard_;
     std::optional<LeaderState> leader_; ///< This VM leads.
     Time claimAfter_; ///< No claim before.
--- a/src/SessionStatements.cpp
+++ b/src/SessionStatements.cpp
@@ -269,7 +269,7 @@
         option.lagging_ = !primary && member->laggedBehind_ && floor && *floor >= *member->laggedBehind_ && now - member->laggedAt_ < laggingPause;
         option.suspect_ = member->silent_ > 0 || member->openFailures_ > 0;
         option.idleConnection_ = !member->idle_.empty();
-        option.mayOpen_ = member->connections_.size() < share && now >= member->openAfter_;
+        option.mayOpen_ = member->connections_.size() < connectionsAllowed(share, now - run.arrived_) && now >= member->openAfter_;
         options.push_back(option);
     }
     return options;
--- a/src/StatementPlacement.cpp
+++ b/src/StatementPlacement.cpp
@@ -17,6 +17,9 @@
 /** A connection more is worth its 12 ms when the member has this many statements fewer than the one that is used now. */
 constexpr double worthOpening = 2.0;
 
+/** A statement that has waited for this long may open a connection above ordinary load: about one statement's work. */
+constexpr std::chrono::milliseconds patience(30);
+
 double cost(const PlacementOption &option)
 {
     return static_cast<double>(option.busy_) + (option.sameZone_ ? 0.0 : otherZone) + (option.primary_ ? primaryRoom : 0.0) + (option.lagging_ ? lagging : 0.0)
@@ -47,6 +50,11 @@
     return placement;
 }
 
+unsigned connectionsAllowed(unsigned share, std::chrono::microseconds waited)
+{
+    return waited > patience ? share : std::max(1U, share / 2);
+}
+
 unsigned connectionShare(unsigned limit, unsigned vms)
 {
     return std::max(1U, limit / std::max(1U, vms));
--- a/src/StatementPlacement.h
+++ b/src/StatementPlacement.h
@@ -9,6 +9,7 @@
 #include "Ids.h"
 
 #include <absl/types/span.h>
+#include <chrono>
 #include <optional>
 
 namespace Figward {
@@ -37,6 +38,13 @@
 /** Places a statement on one of \p options; all of them may run it. */
 Placement placeStatement(absl::Span<const PlacementOption> options);
 
+/**
+ * Connections that this VM may have to one member for a statement that has waited for \p waited, where \p share is its whole share.
+ * Half of the share is for ordinary load. The rest opens for statements that wait: when many VMs lose power at once, members hold their dead connections
+ * for seconds, and VMs that start again find room only if the ones before them had left some.
+ */
+unsigned connectionsAllowed(unsigned share, std::chrono::microseconds waited);
+
 /** Connections of one VM to one member, of the \p limit that the member takes from all \p vms together; at least one. */
 unsigned connectionShare(unsigned limit, unsigned vms);
 
--- a/src/WireHeartbeat.cpp
+++ b/src/WireHeartbeat.cpp
@@ -37,6 +37,7 @@
     out.set_primary(group.primary_.value());
     out.set_term(group.term_.value());
     out.set_claim_left(micros(group.claimLeft_));
+    out.set_renewals(group.renewals_);
 }
 
 GroupHeartbeat decodeGroup(const v1::GroupBeat &in)
@@ -57,6 +58,7 @@
     group.primary_ = MemberId(in.primary());
     group.term_ = Term(in.term());
     group.claimLeft_ = duration(in.claim_left());
+    group.renewals_ = in.renewals();
     return group;
 }
 
--- /dev/null
+++ b/test/correctness/StatementsArePlaced.cpp
@@ -0,0 +1,58 @@
+#include "StatementPlacement.h"
+
+#include <gmock/gmock.h>
+
+using namespace Figward;
+using namespace testing;
+
+namespace {
+
+PlacementOption option(const char *member, unsigned busy, bool sameZone)
+{
+    PlacementOption option{.member_ = MemberId(member)};
+    option.busy_ = busy;
+    option.sameZone_ = sameZone;
+    option.idleConnection_ = true;
+    return option;
+}
+
+} // namespace
+
+TEST(StatementsArePlaced, inTheOwnZoneUntilThatIsTheBusier)
+{
+    EXPECT_EQ(placeStatement(std::vector{option("near", 0, true), option("far", 0, false)}).run_, MemberId("near"));
+    EXPECT_EQ(placeStatement(std::vector{option("near", 2, true), option("far", 0, false)}).run_, MemberId("far"));
+}
+
+TEST(StatementsArePlaced, atAMemberThatLagsOnlyWhenTheOthersAreFarBusier)
+{
+    PlacementOption lagging = option("near", 0, true);
+    lagging.lagging_ = true;
+    EXPECT_EQ(placeStatement(std::vector{lagging, option("far", 4, false)}).run_, MemberId("far"));
+    EXPECT_EQ(placeStatement(std::vector{lagging, option("far", 14, false)}).run_, MemberId("near"));
+}
+
+TEST(StatementsArePlaced, byOpeningAConnectionWhereNoneIsIdle)
+{
+    PlacementOption busy = option("near", 3, true);
+    busy.idleConnection_ = false;
+    busy.mayOpen_ = true;
+    EXPECT_EQ(placeStatement(std::vector{busy}).open_, MemberId("near"));
+    EXPECT_EQ(placeStatement(std::vector{busy}).run_, std::nullopt);
+    busy.mayOpen_ = false;
+    EXPECT_EQ(placeStatement(std::vector{busy}).open_, std::nullopt);
+}
+
+// Load pattern: eight VMs lose power together, and each member holds their connections for three seconds more. With the whole share in use before, the
+// VMs that start again are refused until then; with half of it, as many again fit.
+TEST(StatementsArePlaced, soThatVmsThatStartAgainFindRoom)
+{
+    constexpr unsigned limit = 34;
+    constexpr unsigned vms = 8;
+    const unsigned share = connectionShare(limit, vms);
+    EXPECT_EQ(share, 4U);
+    const unsigned ordinary = connectionsAllowed(share, std::chrono::milliseconds(0));
+    EXPECT_LE(2 * ordinary * vms, limit);
+    EXPECT_EQ(connectionsAllowed(share, std::chrono::milliseconds(40)), share) << "a burst may use the whole share";
+    EXPECT_EQ(connectionsAllowed(connectionShare(3, vms), std::chrono::milliseconds(0)), 1U);
+}
--- /dev/null
+++ b/test/error/PlatformInputIsMalformed.cpp
@@ -0,0 +1,111 @@
+#include "LineProtocol.h"
+#include "ObjectFormat.h"
+#include "WireHeartbeat.h"
+
+#include <gmock/gmock.h>
+#include <random>
+
+using namespace Figward;
+using namespace Figward::Platform;
+using namespace testing;
+
+namespace {
+
+const std::string goodMember = R"({"meta":{"name":"i-1","revision":7},"spec":{"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","slots":5,)"
+                               R"("state":"ready","cold_remaining_ms":0,"db_role":"replica","seq":4}})";
+const std::string goodConfiguration =
+    R"({"meta":{"name":"main","revision":9},"spec":{"version":7,"routes":[{"name":"r","host":"db","type":"primary","timeout_ms":1000,)"
+    R"("service":"s"}],"services":[{"name":"s","max_conns":34,"sync_replicas":0}],"limits":{"tx_idle_ms":3000}}})";
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+std::optional<DirectoryEntry> memberOf(const std::string &body)
+{
+    const std::optional<StoreObject> object = readObject(body);
+    return object ? readMember(*object) : std::nullopt;
+}
+
+/** Changes, drops or adds a few bytes. */
+std::string mutate(std::string text, std::mt19937_64 &random)
+{
+    for (unsigned change = random() % 4 + 1; change > 0 && !text.empty(); --change) {
+        const std::size_t place = random() % text.size();
+        switch (random() % 3) {
+        case 0:
+            text[place] = static_cast<char>(random() % 256);
+            break;
+        case 1:
+            text.erase(place, random() % 5 + 1);
+            break;
+        default:
+            text.insert(place, 1, static_cast<char>(random() % 256));
+        }
+    }
+    return text;
+}
+
+} // namespace
+
+// A client, or whoever reached the port, sends lines that are none of the protocol's. Each is told apart with a reason; a control character inside a line
+// must not reach a member, where it would end the line and begin another statement that no client sent.
+TEST(PlatformInputIsMalformed, linesOfClients)
+{
+    for (const char *line : {"", "GET / HTTP/1.1", "QUERY", "QUERY - READ a", "QUERY 1 READ a\nQUERY 2 WRITE b", "START", "QUERY 1 READ a\rb"}) {
+        const ClientLine parsed = parseClientLine(line);
+        ASSERT_TRUE(std::holds_alternative<UnknownLine>(parsed)) << line;
+        EXPECT_THAT(std::get<UnknownLine>(parsed).reason_, Not(IsEmpty()));
+    }
+    for (const char *line : {"QUERY 1 ", "QUERY 1 DROP a", "QUERY 1 PREPARE s q2c", "QUERY 1 SET name", "QUERY 1 EXECUTE s", "QUERY 1 READ"}) {
+        const ClientLine parsed = parseClientLine(line);
+        ASSERT_TRUE(std::holds_alternative<QueryLine>(parsed)) << line;
+        EXPECT_EQ(std::get<QueryLine>(parsed).statement_.kind_, StatementKind::Malformed) << line;
+    }
+}
+
+// Another writer than the member left its entry: a field is missing or of another type, or holds a word that is not known. It names no member.
+TEST(PlatformInputIsMalformed, entriesOfMembers)
+{
+    ASSERT_TRUE(memberOf(goodMember).has_value());
+    for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>>{{R"("service":"s",)", ""},
+                                                                                   {R"("address":"10.0.0.1:80")", R"("address":"nowhere")"},
+                                                                                   {R"("state":"ready")", R"("state":"sleeping")"},
+                                                                                   {R"("db_role":"replica")", R"("db_role":7)"},
+                                                                                   {R"("seq":4)", R"("seq":"4")"},
+                                                                                   {R"("seq":4)", R"("seq":4,"born":"then")"}}) {
+        EXPECT_FALSE(memberOf(replaced(goodMember, from, to)).has_value()) << to;
+    }
+    EXPECT_EQ(memberOf(replaced(goodMember, R"("seq":4)", R"("seq":4,"born":1700000000000)"))->bornMillis_, 1700000000000);
+}
+
+// Bytes of every kind reach the readers: each answers with what it could read or with nothing, and none of them ends the process.
+TEST(PlatformInputIsMalformed, mutationsOfEverything)
+{
+    std::mt19937_64 random(7);
+    VmHeartbeat heartbeat;
+    heartbeat.name_ = "vm";
+    heartbeat.from_ = VmId(5);
+    heartbeat.address_ = "10.0.0.1:80";
+    heartbeat.groups_.resize(2);
+    const std::string datagram = Wire::encodeHeartbeat(heartbeat);
+    ASSERT_TRUE(Wire::decodeHeartbeat(datagram).has_value());
+    unsigned configurations = 0;
+    for (int round = 0; round < 20000; ++round) {
+        parseClientLine(mutate("QUERY 5c0e PREPARE s1 WRITE q2c", random));
+        ReplyReader reader;
+        bool wellFormed = true;
+        reader.take(mutate("COMPLETE 7.1f3", random), wellFormed);
+        reader.take(mutate("READY I 3.1209", random), wellFormed);
+        parseReport(mutate("replica 3 3.1209 0 12 2 17", random));
+        memberOf(mutate(goodMember, random));
+        const std::optional<StoreObject> object = readObject(mutate(goodConfiguration, random));
+        configurations += object && readConfiguration(object->spec_) ? 1 : 0;
+        readList(mutate(R"({"items":[],"has_more":false,"store_revision":530})", random));
+        readEvents(mutate(R"({"events":[{"deleted":false,"object":{}}],"store_revision":533})", random));
+        Wire::decodeHeartbeat(mutate(datagram, random));
+    }
+    EXPECT_GT(configurations, 0U) << "some changes do no harm";
+    EXPECT_LT(configurations, 20000U);
+}
--- a/test/error/SessionPrimaryIsLost.cpp
+++ b/test/error/SessionPrimaryIsLost.cpp
@@ -125,6 +125,25 @@
     EXPECT_THAT(world.violations(), IsEmpty());
 }
 
+// The leader is killed while the store is away, and some seconds later the primary dies. The claim has not been renewed since the leader last spoke of it,
+// so that the others need not wait for its whole time again once the store is back. The rest is the new leader listening, the dead VM's authority and the call.
+TEST(SessionPrimaryIsLost, afterTheLeaderDiedWhileTheStoreWasAway)
+{
+    SessionWorld world;
+    world.run(startTime);
+    ASSERT_TRUE(world.leader().has_value());
+    const unsigned leader = *world.leader();
+    world.storeDown(true);
+    world.run(std::chrono::milliseconds(500));
+    world.killVm(leader);
+    world.run(std::chrono::milliseconds(8500));
+    world.crashMember(0);
+    world.storeDown(false);
+    EXPECT_LT(toMillis(writesStallFor(world, (leader + 1) % 4)), 4500) << stepsOf(world);
+    world.checkLogs();
+    EXPECT_THAT(world.violations(), IsEmpty());
+}
+
 // The leader is killed with the primary. Another VM takes the claim when it is provably over, and then replaces the primary.
 TEST(SessionPrimaryIsLost, togetherWithTheLeader)
 {
