--- a/src/CommandServe.cpp
+++ b/src/CommandServe.cpp
@@ -61,9 +61,9 @@
     return options;
 }
 
-/** Runs \p proxy until it ends: the first signal asks for a graceful shutdown, the second ends the process at once. */
+/** Runs \p proxy and then ends the process: the first signal asks for a graceful shutdown, the second ends it at once. */
 template<typename Proxy>
-void runToEnd(Proxy &proxy)
+[[noreturn]] void runToEnd(Proxy &proxy)
 {
     Signals signals;
     if (const absl::Status status = proxy.start(); !status.ok()) {
@@ -72,6 +72,9 @@
     }
     signals.start([&proxy, count = 0]() mutable { ++count == 1 ? proxy.drain() : std::_Exit(static_cast<int>(ExitCode::Failure)); });
     proxy.awaitExit();
+    // All that was asked has been answered, and the kernel sends what is left. Unwinding threads and libraries would only delay the next start: on VMs
+    // with a quarter of a core the process was still there when the platform killed it 4 s later.
+    std::_Exit(static_cast<int>(ExitCode::Ok));
 }
 
 void serve(const std::string &file)
@@ -83,7 +86,6 @@
     if (checked.settings_->sessions_) {
         Platform::PlatformProxy proxy(platformOptionsOf(*checked.settings_));
         runToEnd(proxy);
-        return;
     }
     ProxyProcess proxy(optionsOf(*checked.settings_));
     runToEnd(proxy);
--- a/src/HttpListener.cpp
+++ b/src/HttpListener.cpp
@@ -41,7 +41,13 @@
 private:
     void answer()
     {
-        const HttpAnswer answer = request_.method() == http::verb::get ? (*handler_)(std::string(request_.target())) : HttpAnswer{405, {}};
+        stream_.expires_never();
+        const HttpCall call{std::string(request_.method_string()), std::string(request_.target()), request_.body()};
+        (*handler_)(call, [self = shared_from_this()](const HttpAnswer &answer) { self->write(answer); });
+    }
+
+    void write(const HttpAnswer &answer)
+    {
         response_ = {};
         response_.version(request_.version());
         response_.result(answer.status_);
@@ -51,6 +57,7 @@
         }
         response_.body() = answer.body_;
         response_.prepare_payload();
+        stream_.expires_after(idleLimit);
         http::async_write(stream_, response_, [self = shared_from_this()](const boost::system::error_code &error, std::size_t /*size*/) {
             if (!error && self->response_.keep_alive()) {
                 self->read();
@@ -73,7 +80,7 @@
 
 HttpListener::~HttpListener()
 {
-    *handler_ = [](const std::string & /*target*/) { return HttpAnswer{503, {}}; };
+    *handler_ = [](const HttpCall & /*call*/, const Respond &respond) { respond(HttpAnswer{503, {}}); };
 }
 
 absl::Status HttpListener::open(const std::string &address)
@@ -85,6 +92,12 @@
     return absl::OkStatus();
 }
 
+std::string HttpListener::address() const
+{
+    const boost::asio::ip::tcp::endpoint endpoint = acceptor_.local_endpoint();
+    return absl::StrCat(endpoint.address().to_string(), ":", endpoint.port());
+}
+
 void HttpListener::accept()
 {
     acceptor_.async_accept([this](const boost::system::error_code &error, boost::asio::ip::tcp::socket socket) {
--- a/src/HttpListener.h
+++ b/src/HttpListener.h
@@ -19,12 +19,21 @@
     std::string body_; ///< JSON, or empty.
 };
 
+/** What is asked. */
+struct HttpCall
+{
+    std::string method_;
+    std::string target_;
+    std::string body_;
+};
+
 /** Answers requests on the context's thread. */
 class HttpListener
 {
 public:
-    /** Answers a GET of \p target; other methods are refused before. */
-    using Handler = std::function<HttpAnswer(const std::string &target)>;
+    using Respond = std::function<void(HttpAnswer answer)>;
+    /** Calls \p respond once, at once or later, on the context's thread. */
+    using Handler = std::function<void(const HttpCall &call, Respond respond)>;
 
     HttpListener(boost::asio::io_context &context, Handler handler);
     ~HttpListener();
@@ -32,6 +41,8 @@
     HttpListener &operator=(const HttpListener &) = delete;
     /** Listens at "IP:port". Unavailable if that is taken. */
     absl::Status open(const std::string &address);
+    /** Where it listens, with the port that was taken. */
+    [[nodiscard]] std::string address() const;
 
 private:
     class Connection;
