--- a/src/CommandDemo.cpp
+++ b/src/CommandDemo.cpp
@@ -1,5 +1,6 @@
 #include "Command.h"
 #include "Demo.h"
+#include "PlatformDemo.h"
 
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -17,6 +18,7 @@
 {
     unsigned seconds_ = 20;
     bool json_ = false;
+    bool platform_ = false;
     std::string logPrefix_;
 };
 
@@ -59,8 +61,22 @@
               << (promisesKept(result) ? "every promise was kept\n" : "A PROMISE WAS BROKEN\n");
 }
 
+void demoOnPlatform()
+{
+    const absl::StatusOr<Platform::PlatformDemoResult> result = Platform::playPlatformDemo();
+    if (!result.ok()) {
+        std::cerr << "the demonstration could not be run: " << result.status().ToString() << '\n';
+        exitWith(ExitCode::Failure);
+    }
+    std::cout << Platform::describe(*result);
+    exitWith(Platform::promisesKept(*result) ? ExitCode::Ok : ExitCode::Failure);
+}
+
 void demo(const CommandOptions &options)
 {
+    if (options.platform_) {
+        demoOnPlatform();
+    }
     DemoOptions demoOptions;
     demoOptions.length_ = std::chrono::seconds(options.seconds_);
     demoOptions.logPrefix_ = options.logPrefix_;
@@ -87,6 +103,7 @@
     command->add_option("--seconds", options->seconds_, "Length of the load")->check(CLI::Range(shortest, longest))->capture_default_str();
     command->add_flag("--json", options->json_, "Print one JSON object instead of a report");
     command->add_option("--log-prefix", options->logPrefix_, "Write the log of each proxy to a file whose name begins so");
+    command->add_flag("--platform", options->platform_, "Play a fixed short day of database sessions on a stand-in of the users' platform instead");
     command->callback([options] { demo(*options); });
 }
 
