A zone that is cut off from the larger part says that it is not ready and lets idle sessions go

Load pattern: clients reach their zone's VMs, which reach neither primaries nor fresh replicas elsewhere; requests wait and fail one after the other. Change: VMs that hear no VM of other zones, where those were the larger part, are not ready, close sessions at rest once the platform has noticed, replace no primary and give leadership back.

--- a/src/GroupLeadership.cpp
+++ b/src/GroupLeadership.cpp
@@ -80,7 +80,7 @@
 
 void considerClaim(ProxyState &state, SessionGroup &group, Time now, Effects &out)
 {
-    const bool canClaim = state.sessions_->schedule_.registered_ && !state.sessions_->drainSince_ && !group.members_.empty() && !group.claimWrite_;
+    const bool canClaim = state.sessions_->schedule_.registered_ && !state.sessions_->drainSince_ && !state.sessions_->isolatedSince_ && !group.members_.empty() && !group.claimWrite_;
     const bool known = group.seenClaim_.has_value();
     const bool leaderSpeaks = now - group.leaderHeard_ < leaderSilence && group.leaderHeard_ != Time();
     if (!canClaim || !known || leaderSpeaks) {
@@ -218,6 +218,11 @@
         considerClaim(state, group, now, out);
         return;
     }
+    if (state.sessions_->isolatedSince_ && state.sessions_->schedule_.reachable_) {
+        // The larger part of the VMs is on the other side of a cut and may have to replace the primary there.
+        releaseLeadership(state, group, "the zone is cut off", now, out);
+        return;
+    }
     LeaderState &leader = *group.leader_;
     if (leader.claim_.phase_ == ClaimPhase::Steady) {
         // The leader's own authority is its claim; it must not outlast it.
@@ -272,18 +277,16 @@
     }
 }
 
-void releaseLeadership(ProxyState &state, Time now, Effects &out)
+void releaseLeadership(ProxyState &state, SessionGroup &group, std::string_view reason, Time now, Effects &out)
 {
-    for (auto &[id, group] : state.sessions_->groups_) {
-        if (!group.leader_ || group.leader_->claim_.phase_ == ClaimPhase::Replacing || group.leader_->write_) {
-            continue;
-        }
-        LeaderClaim claim = group.leader_->claim_;
-        claim.leaderName_.clear();
-        claim.leader_ = VmId(0);
-        callStore(state, WriteClaim{claim}, now, out);
-        stopLeading(group, "shutting down", out);
+    if (!group.leader_ || group.leader_->claim_.phase_ == ClaimPhase::Replacing || group.leader_->write_) {
+        return;
     }
+    LeaderClaim claim = group.leader_->claim_;
+    claim.leaderName_.clear();
+    claim.leader_ = VmId(0);
+    callStore(state, WriteClaim{claim}, now, out);
+    stopLeading(group, reason, out);
 }
 
 } // namespace Figward
--- a/src/GroupLeadership.h
+++ b/src/GroupLeadership.h
@@ -22,7 +22,7 @@
 void onClaimWritten(ProxyState &state, const WriteClaim &write, const StoreAnswered &answer, Time sentAt, Time now, Effects &out);
 /** The claim of a leader has changed and must be written soon. */
 void wantClaimWrite(LeaderState &leader);
-/** Gives up all leadership, so that others need not wait for the claims to end. */
-void releaseLeadership(ProxyState &state, Time now, Effects &out);
+/** Gives up the leadership of \p group, unless a replacement is under way, so that others need not wait for the claim to end. */
+void releaseLeadership(ProxyState &state, SessionGroup &group, std::string_view reason, Time now, Effects &out);
 
 } // namespace Figward
--- a/src/LogEvents.h
+++ b/src/LogEvents.h
@@ -33,6 +33,8 @@
     OwnershipBegan = 302,
     OwnershipEnds = 303,
     VmSeen = 304,
+    ZoneIsolated = 305,
+    ZoneRejoined = 306,
     MemberSuspected = 401,
     FailoverStarted = 402,
     PrimaryPromoted = 403,
--- a/src/PrimaryReplacement.cpp
+++ b/src/PrimaryReplacement.cpp
@@ -162,7 +162,8 @@
     const std::optional<Duration> heard = lastHeard(state, group, now);
     const Duration silence = heard.value_or(now - leader.leadSince_);
     const bool refused = primary != nullptr && primary->refusedConnections_;
-    if (silence < (refused ? suspectRefusedAfter : suspectAfter) || !hearsMost(state, now)) {
+    const bool mayJudge = hearsMost(state, now) && !state.sessions_->isolatedSince_;
+    if (silence < (refused ? suspectRefusedAfter : suspectAfter) || !mayJudge) {
         return std::nullopt;
     }
     return refused ? "the primary refuses connections" : "no VM hears the primary";
--- a/src/SessionDrain.cpp
+++ b/src/SessionDrain.cpp
@@ -17,6 +17,28 @@
 /** Before the process is killed, to end by itself. */
 constexpr Duration endMargin = std::chrono::milliseconds(400);
 
+void releaseAll(ProxyState &state, Time now, Effects &out)
+{
+    for (auto &[id, group] : state.sessions_->groups_) {
+        releaseLeadership(state, group, "shutting down", now, out);
+    }
+}
+
+/** Sends clients whose sessions are between requests to look for another VM. */
+void closeRestingSessions(SessionServiceState &sessions, Time now, Effects &out)
+{
+    std::vector<SessionKey> resting;
+    for (const auto &[key, session] : sessions.sessions_) {
+        if (isAtRest(session) && now - session.lastActive_ > atRest) {
+            resting.push_back(key);
+        }
+    }
+    for (const SessionKey key : resting) {
+        out.emplace_back(SessionEffect(CloseSession{key}));
+        sessions.sessions_.erase(key);
+    }
+}
+
 } // namespace
 
 void drainSessions(ProxyState &state, Time now, Effects &out)
@@ -27,30 +49,24 @@
     state.sessions_->drainSince_ = now;
     state.sessions_->heartbeatNow_ = true;
     out.emplace_back(WriteLog{LogNumber::DrainStarted, {{"sessions", absl::StrCat(state.sessions_->sessions_.size())}}});
-    releaseLeadership(state, now, out);
+    releaseAll(state, now, out);
 }
 
 void reviewSessionDrain(ProxyState &state, Time now, Effects &out)
 {
     SessionServiceState &sessions = *state.sessions_;
+    if (sessions.isolatedSince_ && now - *sessions.isolatedSince_ > untilUnlisted) {
+        closeRestingSessions(sessions, now, out);
+    }
     if (!sessions.drainSince_ || sessions.exiting_) {
         return;
     }
-    releaseLeadership(state, now, out);
+    releaseAll(state, now, out);
     const Duration since = now - *sessions.drainSince_;
     if (since < untilUnlisted) {
         return;
     }
-    std::vector<SessionKey> resting;
-    for (const auto &[key, session] : sessions.sessions_) {
-        if (isAtRest(session) && now - session.lastActive_ > atRest) {
-            resting.push_back(key);
-        }
-    }
-    for (const SessionKey key : resting) {
-        out.emplace_back(SessionEffect(CloseSession{key}));
-        sessions.sessions_.erase(key);
-    }
+    closeRestingSessions(sessions, now, out);
     if (sessions.sessions_.empty() || since > sessions.identity_.drainTime_ - endMargin) {
         sessions.exiting_ = true;
         out.emplace_back(WriteLog{LogNumber::ProcessStopped, {{"sessions", absl::StrCat(sessions.sessions_.size())}}});
--- a/src/SessionDrain.h
+++ b/src/SessionDrain.h
@@ -12,7 +12,7 @@
 
 /** Begins the end: the platform is told to send no new clients, the rest goes on. */
 void drainSessions(ProxyState &state, Time now, Effects &out);
-/** Closes sessions that rest, and ends the process when none is left or the time is up. */
+/** Closes sessions that rest while the process ends or its zone is cut off, and ends the process when none is left or the time is up. */
 void reviewSessionDrain(ProxyState &state, Time now, Effects &out);
 
 } // namespace Figward
--- a/src/SessionService.cpp
+++ b/src/SessionService.cpp
@@ -10,6 +10,7 @@
 #include "SessionHeartbeats.h"
 #include "SessionStatements.h"
 #include "StoreReads.h"
+#include "ZoneIsolation.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -25,10 +26,21 @@
 constexpr Duration probeAfter = std::chrono::milliseconds(300);
 constexpr Duration probeInterval = std::chrono::milliseconds(250);
 
+/** Notes when the zone is cut off, and when it no longer is. */
+void reviewIsolation(SessionServiceState &sessions, Time now, Effects &out)
+{
+    const bool isolated = isZoneIsolated(sessions, now);
+    if (isolated == sessions.isolatedSince_.has_value()) {
+        return;
+    }
+    sessions.isolatedSince_ = isolated ? std::optional(now) : std::nullopt;
+    out.emplace_back(WriteLog{isolated ? LogNumber::ZoneIsolated : LogNumber::ZoneRejoined, {{"zone", sessions.identity_.vm_.zone_.value()}}});
+}
+
 void reviewReady(ProxyState &state, Effects &out)
 {
     SessionServiceState &sessions = *state.sessions_;
-    const bool ready = sessions.configuration_ && sessions.directoryKnown_ && !sessions.drainSince_;
+    const bool ready = sessions.configuration_ && sessions.directoryKnown_ && !sessions.drainSince_ && !sessions.isolatedSince_;
     if (sessions.ready_ != ready) {
         sessions.ready_ = ready;
         out.emplace_back(SessionEffect(SetReady{ready}));
@@ -73,6 +85,7 @@
     reviewMemberConnections(state, now, out);
     reviewSessions(state, now, out);
     reviewSessionDrain(state, now, out);
+    reviewIsolation(*state.sessions_, now, out);
     reviewReady(state, out);
     state.timers_.arm(now + reviewInterval, TimerTag{TimerTopic::SessionReview, {}, 0});
 }
--- a/src/SessionState.h
+++ b/src/SessionState.h
@@ -234,6 +234,7 @@
     Time heartbeatAt_;
     bool heartbeatNow_ = false;
     std::optional<bool> ready_;
+    std::optional<Time> isolatedSince_; ///< The zone is cut off from the larger part.
     std::optional<Time> drainSince_;
     bool exiting_ = false;
 };
