--- a/src/GroupLeadership.cpp
+++ b/src/GroupLeadership.cpp
@@ -80,7 +80,8 @@
 
 void considerClaim(ProxyState &state, SessionGroup &group, Time now, Effects &out)
 {
-    const bool canClaim = state.sessions_->schedule_.registered_ && !state.sessions_->drainSince_ && !state.sessions_->isolatedSince_ && !group.members_.empty() && !group.claimWrite_;
+    const bool canClaim = state.sessions_->schedule_.registered_ && !state.sessions_->drainSince_ && !state.sessions_->isolatedSince_ && !group.members_.empty()
+                          && !group.claimWrite_;
     const bool known = group.seenClaim_.has_value();
     const bool leaderSpeaks = now - group.leaderHeard_ < leaderSilence && group.leaderHeard_ != Time();
     if (!canClaim || !known || leaderSpeaks) {
--- a/src/HttpListener.cpp
+++ b/src/HttpListener.cpp
@@ -85,7 +85,7 @@
 
 absl::Status HttpListener::open(const std::string &address)
 {
-    if (const absl::Status status = listenAt(acceptor_, address); !status.ok()) {
+    if (absl::Status status = listenAt(acceptor_, address); !status.ok()) {
         return status;
     }
     accept();
--- a/src/LineConnection.cpp
+++ b/src/LineConnection.cpp
@@ -35,7 +35,7 @@
 {
     onLine_ = std::move(onLine);
     onEnd_ = std::move(onEnd);
-    socket_.async_connect(to, [self = shared_from_this(), greeting = std::move(greeting)](const boost::system::error_code &error) mutable {
+    socket_.async_connect(to, [self = shared_from_this(), greeting = std::move(greeting)](const boost::system::error_code &error) {
         if (self->closed_) {
             return;
         }
@@ -44,7 +44,7 @@
             return;
         }
         self->prepareSocket();
-        self->send(std::move(greeting));
+        self->send(greeting);
         self->read();
     });
 }
@@ -60,7 +60,7 @@
     setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &keepAliveSeconds, sizeof keepAliveSeconds);
 }
 
-void LineConnection::send(std::string text)
+void LineConnection::send(const std::string &text)
 {
     if (closed_) {
         return;
--- a/src/LineConnection.h
+++ b/src/LineConnection.h
@@ -33,7 +33,7 @@
     /** Opens the connection, sends \p greeting, and reads. */
     void connect(const boost::asio::ip::tcp::endpoint &to, std::string greeting, OnLine onLine, OnEnd onEnd);
     /** Sends \p text, which ends with CR LF. */
-    void send(std::string text);
+    void send(const std::string &text);
     /** Ends the connection when what was sent before has gone out. */
     void closeAfterSending();
     /** Ends the connection at once. */
