A zone counts as cut off only when its members elsewhere are silent too; VMs that start during the cut see it

And VMs that were left alone while the others were killed would have said that they are not ready. Change: VMs that the store lists count though never heard; members of other zones are asked before the zone is judged. The test of a single VM that is cut off now cuts it from the members, too: one that reaches them can serve, and stays ready.

--- a/src/SessionService.cpp
+++ b/src/SessionService.cpp
@@ -57,6 +57,19 @@
     askMemberReport(state, *primary, now, out);
 }
 
+/** Asks members of other zones for a sign of life while no VM there gives one. */
+void probeElsewhere(ProxyState &state, const SessionGroup &group, Time now, Effects &out)
+{
+    for (const MemberId &id : group.members_) {
+        MemberState *member = findMember(state, id);
+        const bool elsewhere = member != nullptr && member->entry_.zone_ != state.sessions_->identity_.vm_.zone_;
+        const bool silent = elsewhere && (!member->heard_ || now - *member->heard_ > probeAfter);
+        if (silent && now - member->controlAsked_ > probeInterval) {
+            askMemberReport(state, *member, now, out);
+        }
+    }
+}
+
 void reviewGroup(ProxyState &state, SessionGroup &group, Time now, Effects &out)
 {
     if (!state.sessions_->configuration_) {
@@ -64,6 +77,9 @@
     }
     reviewLeadership(state, group, now, out);
     probePrimary(state, group, now, out);
+    if (shouldAskElsewhere(*state.sessions_, now)) {
+        probeElsewhere(state, group, now, out);
+    }
     const bool held = holdsAuthority(group.authority_, now);
     if (held != group.heldAuthority_) {
         group.heldAuthority_ = held;
@@ -109,6 +125,7 @@
 
 void startSessionService(ProxyState &state, Time now, Effects &out)
 {
+    state.sessions_->startedAt_ = now;
     review(state, now, out);
 }
 
--- a/src/SessionState.h
+++ b/src/SessionState.h
@@ -233,6 +233,7 @@
     StoreSchedule schedule_;
     Time heartbeatAt_;
     bool heartbeatNow_ = false;
+    Time startedAt_;
     std::optional<bool> ready_;
     std::optional<Time> isolatedSince_; ///< The zone is cut off from the larger part.
     std::optional<Time> drainSince_;
--- a/src/ZoneIsolation.h
+++ b/src/ZoneIsolation.h
@@ -11,9 +11,12 @@
 namespace Figward {
 
 /**
- * Whether this VM has lost all VMs of other zones for a while, and those are the larger part of the VMs that were there. The smaller part gives way: the larger
- * one replaces the primaries that it has lost.
+ * Whether this VM has lost all VMs and all members of other zones for a while, and those VMs are the larger part of all. The smaller part gives way: the larger
+ * one replaces the primaries that it has lost. A VM that starts during a cut counts the VMs that the store lists.
  */
 bool isZoneIsolated(const SessionServiceState &sessions, Time now);
 
+/** Whether no VM of another zone was heard for so long that members there should be asked whether the zone is cut off. */
+bool shouldAskElsewhere(const SessionServiceState &sessions, Time now);
+
 } // namespace Figward
--- a/test/error/SessionZoneIsCutOff.cpp
+++ b/test/error/SessionZoneIsCutOff.cpp
@@ -56,7 +56,7 @@
     EXPECT_THAT(world.violations(), IsEmpty());
 }
 
-// One VM of several in its zone loses all others, such as by its own link. It alone says that it is not ready; nobody else does.
+// One VM of several in its zone loses all else, such as by its own link. It alone says that it is not ready; nobody else does.
 TEST(SessionZoneIsCutOff, aSingleVmThatIsCutOffSpeaksForItselfOnly)
 {
     SessionWorldConfig config;
@@ -66,9 +66,50 @@
     for (unsigned other = 1; other < vms; ++other) {
         world.cutVms(0, other, true);
     }
+    for (unsigned member = 0; member < 3; ++member) {
+        world.cutVmFromMember(0, member, true);
+    }
     world.run(std::chrono::seconds(2));
     EXPECT_FALSE(world.ready(0));
     for (unsigned other = 1; other < vms; ++other) {
         EXPECT_TRUE(world.ready(other)) << other;
     }
 }
+
+// All VMs of the other zones are killed at once. Those that are left still reach the members, and all clients now depend on them: they stay ready.
+TEST(SessionZoneIsCutOff, vmsThatAreLeftAloneStayReady)
+{
+    SessionWorldConfig config;
+    config.vms_ = vms;
+    SessionWorld world(config);
+    world.run(startTime);
+    const std::size_t client = world.open(0, "dispatch");
+    for (const unsigned outside : {1U, 2U, 4U, 5U}) {
+        world.killVm(outside);
+    }
+    for (int round = 0; round < 40; ++round) {
+        EXPECT_TRUE(world.ready(0)) << round;
+        world.ask(client, StatementKind::Read, "READ a");
+        world.run(std::chrono::milliseconds(100));
+    }
+    EXPECT_FALSE(world.client(client).closed_);
+}
+
+// A VM of the zone starts while the zone is cut off. It has heard nobody; the store listed the others before it was lost, too. If this VM said that it is ready,
+// the platform would go on sending the zone's clients to it, where nothing can be served.
+TEST(SessionZoneIsCutOff, aVmThatStartsDuringTheCutIsNotReadyEither)
+{
+    SessionWorldConfig config;
+    config.vms_ = vms;
+    SessionWorld world(config);
+    world.run(startTime);
+    cutZone(world, true);
+    world.killVm(3);
+    world.startVm(3);
+    world.cutVmFromStore(3, false);
+    world.run(std::chrono::milliseconds(400));
+    world.cutVmFromStore(3, true);
+    world.run(std::chrono::seconds(2));
+    EXPECT_FALSE(world.ready(0));
+    EXPECT_FALSE(world.ready(3));
+}
