A client's line that is too long gets an error; lines after a session's end are dropped; garbled members' entries are named

Cause: LineConnection ended a connection whose line passed 1 MiB without a word, and went on delivering lines after closeAfterSending(): a line in the same packet as one that ended its session reached ClientListener::takeLine for a session no longer known (std::out_of_range, end of the process). The three tests failed before: two by the missing error, one by the process ending. The connection now lingers: what still comes is read and dropped for a second at most, since closing over unread bytes resets the connection and loses the error.

Entries of members that cannot be understood were counted and told to nobody: one 603 line names each until it changes.

--- a/src/LineConnection.cpp
+++ b/src/LineConnection.cpp
@@ -8,18 +8,19 @@
 
 namespace {
 
-/** The longest message of the protocols that run over lines. */
-constexpr std::size_t lineLimit = std::size_t{1} << 20U;
 constexpr std::size_t readSize = 4096;
 /** Sent data that is not acknowledged for this long ends the connection: packets to a VM that is gone would be repeated for minutes. */
 constexpr int unacknowledgedLimitMillis = 4000;
 /** An idle connection is probed after this long, so that the end of a VM without a word is noticed. */
 constexpr int keepAliveSeconds = 10;
+/** The other side has this long to read what was sent last and to close; a live one needs a round trip. */
+constexpr std::chrono::milliseconds lingerTime(1000);
 
 } // namespace
 
 LineConnection::LineConnection(boost::asio::ip::tcp::socket socket)
     : socket_(std::move(socket))
+    , lingerTimer_(socket_.get_executor())
 {
 }
 
@@ -72,9 +73,7 @@
 void LineConnection::closeAfterSending()
 {
     closing_ = true;
-    if (!isWriting_ && outgoing_.empty()) {
-        close();
-    }
+    write();
 }
 
 void LineConnection::close()
@@ -82,6 +81,7 @@
     closed_ = true;
     boost::system::error_code ignored; // Nothing is left to lose.
     socket_.close(ignored);
+    lingerTimer_.cancel();
     // Deferred: a callback that closes the connection is still running.
     boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
         self->onLine_ = nullptr;
@@ -101,30 +101,70 @@
                                 }
                                 if (error) {
                                     self->end(LineEnd::Closed);
-                                    return;
+                                } else if (self->closing_) {
+                                    self->discard();
+                                } else {
+                                    self->takeLines();
                                 }
-                                self->takeLines();
                             });
 }
 
 void LineConnection::takeLines()
 {
     std::size_t start = 0;
-    for (std::size_t end = incoming_.find("\r\n"); end != std::string::npos && !closed_; end = incoming_.find("\r\n", start)) {
+    for (std::size_t end = incoming_.find("\r\n"); end != std::string::npos; end = incoming_.find("\r\n", start)) {
+        if (end - start > lineLimit) {
+            takeTooLong();
+            return;
+        }
         onLine_(std::string_view(incoming_).substr(start, end - start));
+        if (closed_ || closing_) {
+            discard();
+            return;
+        }
         start = end + 2;
     }
-    if (closed_) {
-        return;
-    }
     incoming_.erase(0, start);
-    if (incoming_.size() > lineLimit) {
-        end(LineEnd::TooLong);
+    constexpr std::size_t halfOfTheEnd = 1; // The CR may be there already.
+    if (incoming_.size() > lineLimit + halfOfTheEnd) {
+        takeTooLong();
         return;
     }
     read();
 }
 
+void LineConnection::takeTooLong()
+{
+    const OnEnd onEnd = onEnd_;
+    onEnd(LineEnd::TooLong);
+    if (closing_) {
+        discard();
+    } else if (!closed_) {
+        close();
+    }
+}
+
+void LineConnection::discard()
+{
+    // A connection that is closed over bytes it has not read is reset, and the reset takes what was sent last with it.
+    if (!closed_) {
+        incoming_.clear();
+        read();
+    }
+}
+
+void LineConnection::linger()
+{
+    boost::system::error_code ignored; // The other side may have reset the connection; reading tells.
+    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    lingerTimer_.expires_after(lingerTime);
+    lingerTimer_.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        if (!error && !self->closed_) {
+            self->close();
+        }
+    });
+}
+
 void LineConnection::write()
 {
     if (isWriting_ || closed_) {
@@ -132,7 +172,7 @@
     }
     if (outgoing_.empty()) {
         if (closing_) {
-            close();
+            linger();
         }
         return;
     }
@@ -155,9 +195,12 @@
 
 void LineConnection::end(LineEnd reason)
 {
+    const bool awaited = !closing_;
     const OnEnd onEnd = onEnd_;
     close();
-    onEnd(reason);
+    if (awaited) {
+        onEnd(reason);
+    }
 }
 
 } // namespace Figward
--- a/src/MemberDirectoryUpdate.cpp
+++ b/src/MemberDirectoryUpdate.cpp
@@ -24,6 +24,19 @@
                                {"revision", absl::StrCat(revision)}}});
 }
 
+/** An entry that another writer left, or whose fields are garbled: told once, or every read of the list would tell it again. */
+void logUnusable(const MemberDirectory &directory, const std::set<std::string> &known, Effects &out)
+{
+    for (const std::string &name : directory.unusable_) {
+        if (!known.contains(name)) {
+            out.emplace_back(WriteLog{LogNumber::StoreObjectUnreadable,
+                                      {{"object", name.empty() ? "an entry without a name" : name},
+                                       {"reason", "no entry of a member"},
+                                       {"revision", absl::StrCat(directory.revision_)}}});
+        }
+    }
+}
+
 /** Closes what rests; statements under way end by themselves. */
 void closeIdle(ProxyState &state, MemberState &member, Effects &out)
 {
@@ -86,6 +99,8 @@
     }
     sessions.directoryRevision_ = directory.revision_;
     sessions.directoryKnown_ = true;
+    logUnusable(directory, sessions.unusableEntries_, out);
+    sessions.unusableEntries_ = directory.unusable_;
     std::set<MemberId> present;
     for (const DirectoryEntry &entry : directory.entries_) {
         present.insert(entry.id_);
--- a/src/SessionConfiguration.h
+++ b/src/SessionConfiguration.h
@@ -6,6 +6,7 @@
 #include "SessionTypes.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -63,7 +64,7 @@
 {
     std::uint64_t revision_ = 0;
     std::vector<DirectoryEntry> entries_;
-    unsigned unusable_ = 0; ///< Entries that could not be understood; they name no member.
+    std::set<std::string> unusable_; ///< Names of entries that could not be understood, empty for one without a name; they are no members.
 };
 
 /** One entry VM as it registers itself. */
--- a/src/SessionState.h
+++ b/src/SessionState.h
@@ -223,6 +223,7 @@
     std::optional<SessionConfiguration> configuration_;
     std::uint64_t configurationRevision_ = 0;
     std::uint64_t directoryRevision_ = 0;
+    std::set<std::string> unusableEntries_; ///< Of the directory; each is logged once.
     bool directoryKnown_ = false;
     std::map<SessionKey, ClientSession> sessions_;
     std::map<ConnectionId, MemberConnection> connections_;
--- a/test/error/PlatformInputIsMalformed.cpp
+++ b/test/error/PlatformInputIsMalformed.cpp
@@ -1,9 +1,13 @@
+#include "ClientListener.h"
 #include "LineProtocol.h"
 #include "ObjectFormat.h"
 #include "WireHeartbeat.h"
 
+#include <atomic>
+#include <boost/asio.hpp>
 #include <gmock/gmock.h>
 #include <random>
+#include <thread>
 
 using namespace Figward;
 using namespace Figward::Platform;
@@ -47,6 +51,65 @@
     return text;
 }
 
+/** A listener on a thread of its own, which counts the sessions that it reports. */
+class ListenerBesideClient : public EventSink
+{
+public:
+    ListenerBesideClient()
+        : listener_(context_, *this)
+        , work_(context_.get_executor())
+    {
+        EXPECT_TRUE(listener_.open("127.0.0.1:0").ok());
+        thread_ = std::thread([this] { context_.run(); });
+    }
+
+    ~ListenerBesideClient() override
+    {
+        context_.stop();
+        thread_.join();
+    }
+
+    void post(EventBody event) override
+    {
+        const auto &body = std::get<SessionEvent>(event);
+        opened_ += std::holds_alternative<SessionOpened>(body) ? 1 : 0;
+        statements_ += std::holds_alternative<StatementArrived>(body) ? 1 : 0;
+        closed_ += std::holds_alternative<SessionClosed>(body) ? 1 : 0;
+        if (refuse_ && std::holds_alternative<SessionOpened>(body)) {
+            listener_.refuse({std::get<SessionOpened>(body).session_, ReplyCode::NoDatabase, "no such database"});
+        }
+    }
+
+    /** Sends \p text, and returns all that is answered until the connection ends; what ended it goes to \p end. */
+    std::string exchange(const std::string &text, boost::system::error_code &end)
+    {
+        boost::asio::io_context context;
+        boost::asio::ip::tcp::socket client(context);
+        client.connect({boost::asio::ip::make_address("127.0.0.1"), listener_.port()});
+        std::thread writer([&] {
+            boost::system::error_code ignored; // The listener may have closed; the answer tells.
+            boost::asio::write(client, boost::asio::buffer(text), ignored);
+        });
+        std::string answer;
+        boost::asio::read(client, boost::asio::dynamic_buffer(answer), end);
+        writer.join();
+        return answer;
+    }
+
+    std::atomic<unsigned> opened_ = 0;
+    std::atomic<unsigned> statements_ = 0;
+    std::atomic<unsigned> closed_ = 0;
+    bool refuse_ = false; ///< Every database is unknown.
+
+private:
+    boost::asio::io_context context_;
+    ClientListener listener_;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
+    std::thread thread_;
+};
+
+const std::string tooLong = "ERROR MALFORMED a line is longer than 1048576 bytes\r\n";
+
 } // namespace
 
 // A client, or whoever reached the port, sends lines that are none of the protocol's. Each is told apart with a reason; a control character inside a line
@@ -109,3 +172,46 @@
     EXPECT_GT(configurations, 0U) << "some changes do no harm";
     EXPECT_LT(configurations, 20000U);
 }
+
+// A client sends a line without end. It gets one error that names the limit and then the end of its session; the rest of the line is read and dropped
+// meanwhile, since a connection that is closed over unread bytes is reset, and the reset takes the error with it.
+TEST(PlatformInputIsMalformed, aLineWithoutEnd)
+{
+    constexpr std::size_t size = std::size_t{3} << 20U;
+    ListenerBesideClient listener;
+    boost::system::error_code end;
+    EXPECT_EQ(listener.exchange("START db\r\nQUERY 1 READ " + std::string(size, 'a'), end), tooLong);
+    EXPECT_EQ(end, boost::asio::error::eof);
+    EXPECT_EQ(listener.opened_, 1U);
+    EXPECT_EQ(listener.closed_, 1U);
+}
+
+// A line of just the size that is allowed is taken, one of a byte more is not, whether its end came with it or not.
+TEST(PlatformInputIsMalformed, aLineOfTheLongestSize)
+{
+    const std::string verb = "START ";
+    for (const std::size_t size : {lineLimit, lineLimit + 1}) {
+        ListenerBesideClient listener;
+        boost::system::error_code end;
+        const std::string answer = listener.exchange(verb + std::string(size - verb.size(), 'd') + "\r\nNONSENSE\r\n", end);
+        EXPECT_EQ(answer, size > lineLimit ? tooLong : "ERROR MALFORMED no message of this protocol\r\n");
+        EXPECT_EQ(end, boost::asio::error::eof);
+        EXPECT_EQ(listener.opened_, size > lineLimit ? 0U : 1U);
+    }
+}
+
+// A client does not wait for answers: more lines follow one that is refused, in the same packet. They belong to a session that has ended, and are dropped;
+// taken for a session that is no longer known, they would end the process.
+TEST(PlatformInputIsMalformed, linesAfterOneThatEndsTheSession)
+{
+    ListenerBesideClient listener;
+    boost::system::error_code end;
+    EXPECT_EQ(listener.exchange("START db\r\nNONSENSE\r\nQUERY 1 READ a\r\nNONSENSE\r\n", end), "ERROR MALFORMED no message of this protocol\r\n");
+    EXPECT_EQ(end, boost::asio::error::eof);
+    EXPECT_EQ(listener.statements_, 0U);
+    listener.refuse_ = true;
+    EXPECT_EQ(listener.exchange("START unknown\r\nQUERY 1 READ a\r\nQUERY 2 READ a\r\n", end), "ERROR NODB no such database\r\n");
+    EXPECT_EQ(end, boost::asio::error::eof);
+    EXPECT_EQ(listener.statements_, 0U);
+    EXPECT_EQ(listener.exchange("NONSENSE\r\n", end), "ERROR MALFORMED no message of this protocol\r\n") << "the listener still serves";
+}
--- a/test/error/SessionStoreIsAway.cpp
+++ b/test/error/SessionStoreIsAway.cpp
@@ -79,3 +79,26 @@
     EXPECT_EQ(world.leader(), leader);
     EXPECT_THAT(world.violations(), IsEmpty());
 }
+
+// Another writer leaves an entry among the members that cannot be understood, and later a second one. Callers notice nothing.
+// The on-call engineer finds one line for each entry, however often the list is read, and another one when the same entry is damaged again.
+TEST(SessionStoreIsAway, anEntryThatCannotBeUnderstoodIsNamedOnce)
+{
+    SessionWorld world;
+    world.run(startTime);
+    const std::size_t client = world.open(0, "ledger");
+    world.garbleEntry("i-9", true);
+    world.run(std::chrono::seconds(10));
+    const std::size_t vms = 4;
+    EXPECT_THAT(world.logged(LogNumber::StoreObjectUnreadable), AllOf(SizeIs(vms), Each(HasSubstr("object=i-9"))));
+    world.garbleEntry("i-8", true);
+    world.run(std::chrono::seconds(4));
+    EXPECT_THAT(world.logged(LogNumber::StoreObjectUnreadable), SizeIs(2 * vms));
+    world.garbleEntry("i-9", false);
+    world.run(std::chrono::seconds(4));
+    world.garbleEntry("i-9", true);
+    world.run(std::chrono::seconds(4));
+    EXPECT_THAT(world.logged(LogNumber::StoreObjectUnreadable), SizeIs(3 * vms));
+    EXPECT_EQ(world.ask(client, StatementKind::Write, "WRITE a 1").code_, ReplyCode::None);
+    EXPECT_THAT(world.violations(), IsEmpty());
+}
--- a/test/support/SessionWorld.cpp
+++ b/test/support/SessionWorld.cpp
@@ -331,6 +331,16 @@
     ++store_.revision_;
 }
 
+void SessionWorld::garbleEntry(const std::string &name, bool garbled)
+{
+    if (garbled) {
+        store_.garbled_.insert(name);
+    } else {
+        store_.garbled_.erase(name);
+    }
+    ++store_.revision_;
+}
+
 void SessionWorld::newConfiguration(const std::function<void(SessionConfiguration &)> &change)
 {
     change(store_.configuration_);
@@ -409,7 +419,7 @@
         },
         [&](const WatchConfiguration &) {},
         [&](const ReadMembers &) {
-            answer.content_ = MemberDirectory{++store.revision_, store.members_, 0};
+            answer.content_ = MemberDirectory{++store.revision_, store.members_, store.garbled_};
         },
         [&](const ReadVms &) {
             std::vector<EntryVm> vms;
--- a/test/support/SessionWorld.h
+++ b/test/support/SessionWorld.h
@@ -97,6 +97,8 @@
     void crashMember(unsigned member);
     void restartMember(unsigned member);
     void memberLeaves(unsigned member);
+    /** Another writer leaves an entry that cannot be understood, or takes it away. */
+    void garbleEntry(const std::string &name, bool garbled);
     void newConfiguration(const std::function<void(SessionConfiguration &)> &change);
     /** Watches hear nothing and stale answers are as the store was at this moment. */
     void freezeStaleReads(bool frozen);
@@ -155,6 +157,7 @@
         SessionConfiguration configuration_;
         std::uint64_t configurationRevision_ = 10;
         std::vector<DirectoryEntry> members_;
+        std::set<std::string> garbled_; ///< Names of entries that cannot be understood.
         std::map<std::string, EntryVm> vms_;
         std::map<ServiceId, LeaderClaim> claims_;
     };
