--- a/src/CommandServe.cpp
+++ b/src/CommandServe.cpp
@@ -3,10 +3,13 @@
 #include "PlatformProxy.h"
 #include "ProxyProcess.h"
 #include "Settings.h"
+#include "SettingsReload.h"
 #include "Signals.h"
 
 #include <csignal>
+#include <fstream>
 #include <iostream>
+#include <iterator>
 #include <random>
 
 namespace Figward {
@@ -22,7 +25,7 @@
         readFileOrExit(files->certificateFile_), readFileOrExit(files->keyFile_), files->caFile_.empty() ? std::string() : readFileOrExit(files->caFile_)};
 }
 
-ProxyOptions optionsOf(const Settings &settings)
+ProxyOptions optionsOf(const Settings &settings, std::shared_ptr<LogPort> log)
 {
     ProxyOptions options;
     options.zone_ = settings.zone_;
@@ -34,7 +37,7 @@
     options.seeds_ = settings.seeds_;
     options.callerTls_ = readTls(settings.callerTls_);
     options.peerTls_ = readTls(settings.peerTls_);
-    options.log_ = std::make_shared<LogWriter>(settings.name_, settings.logFile_, settings.logLevel_);
+    options.log_ = std::move(log);
     return options;
 }
 
@@ -45,7 +48,7 @@
     return VmId(((std::uint64_t(device()) << 32U) | device()) & positive);
 }
 
-Platform::PlatformOptions platformOptionsOf(const Settings &settings)
+Platform::PlatformOptions platformOptionsOf(const Settings &settings, std::shared_ptr<LogPort> log)
 {
     Platform::PlatformOptions options;
     options.identity_.vm_ = EntryVm{settings.sessions_->vmName_, newIncarnation(), settings.advertisedAddress_, settings.zone_};
@@ -57,14 +60,15 @@
     options.storeAddress_ = settings.platformAddress_;
     options.promotionAddress_ = settings.sessions_->promotionAddress_;
     options.metricsAddress_ = settings.metricsAddress_;
-    options.log_ = std::make_shared<LogWriter>(settings.name_, settings.logFile_, settings.logLevel_, LogStream::StandardOutput);
+    options.log_ = std::move(log);
     return options;
 }
 
 /** Runs \p proxy and then ends the process: the first signal asks for a graceful shutdown, the second ends it at once. */
 template<typename Proxy>
-[[noreturn]] void runToEnd(Proxy &proxy)
+[[noreturn]] void runToEnd(Proxy &proxy, LogWriter &log)
 {
+    constexpr std::chrono::milliseconds lastLines(100); // A reader that reads takes them in less than one.
     Signals signals;
     if (const absl::Status status = proxy.start(); !status.ok()) {
         std::cerr << "figward: " << status.message() << '\n';
@@ -72,23 +76,58 @@
     }
     signals.start([&proxy, count = 0]() mutable { ++count == 1 ? proxy.drain() : std::_Exit(static_cast<int>(ExitCode::Failure)); });
     proxy.awaitExit();
+    log.flush(lastLines);
     // All that was asked has been answered, and the kernel sends what is left. Unwinding threads and libraries would only delay the next start: on VMs
     // with a quarter of a core the process was still there when the platform killed it 4 s later.
     std::_Exit(static_cast<int>(ExitCode::Ok));
 }
 
+/** Reads the settings again when SIGHUP comes, and logs what became of them. */
+class SettingsReader
+{
+public:
+    SettingsReader(std::string file, Settings settings, std::shared_ptr<LogWriter> log)
+        : file_(std::move(file))
+        , settings_(std::move(settings))
+        , log_(std::move(log))
+    {
+        hangUps_.start([this] { readAgain(); });
+    }
+
+private:
+    void readAgain()
+    {
+        std::ifstream in(file_, std::ios::binary);
+        const SettingsReload reload = reloadSettings(settings_, std::string(std::istreambuf_iterator<char>(in), {}));
+        if (reload.logLevelChanged_) {
+            log_->setLevel(reload.settings_->logLevel_);
+            settings_.logLevel_ = reload.settings_->logLevel_;
+        }
+        log_->write(reload.number_, reload.fields_);
+    }
+
+    std::string file_;
+    Settings settings_;
+    std::shared_ptr<LogWriter> log_;
+    Signals hangUps_{SIGHUP};
+};
+
 void serve(const std::string &file)
 {
-    // A change of the settings takes effect at the next start; without this, the signal that tells of one would end the process.
-    std::signal(SIGHUP, SIG_IGN);
+    std::signal(SIGHUP, SIG_IGN); // Until there is a handler; it would end the process.
     const CheckedSettings checked = checkSettings(readFileOrExit(file));
     exitIfProblems(file, checked.problems_);
-    if (checked.settings_->sessions_) {
-        Platform::PlatformProxy proxy(platformOptionsOf(*checked.settings_));
-        runToEnd(proxy);
+    const Settings &settings = *checked.settings_;
+    // What serves the users' platform logs to standard output, as is the custom there.
+    const LogStream stream = settings.sessions_ ? LogStream::StandardOutput : LogStream::StandardError;
+    const auto log = std::make_shared<LogWriter>(settings.name_, settings.logFile_, settings.logLevel_, stream);
+    const SettingsReader reader(file, settings, log);
+    if (settings.sessions_) {
+        Platform::PlatformProxy proxy(platformOptionsOf(settings, log));
+        runToEnd(proxy, *log);
     }
-    ProxyProcess proxy(optionsOf(*checked.settings_));
-    runToEnd(proxy);
+    ProxyProcess proxy(optionsOf(settings, log));
+    runToEnd(proxy, *log);
 }
 
 } // namespace
--- a/src/EventLoop.cpp
+++ b/src/EventLoop.cpp
@@ -110,7 +110,8 @@
     }
     batch_.clear();
     if (turns_++ % turnsBetweenGauges == 0) {
-        ports_.metrics_->observe(state_);
+        ports_.metrics_->observe(state_, readClock());
+        ports_.metrics_->observeDroppedLines(ports_.log_->droppedLines());
     }
 }
 
--- a/src/LogEvents.cpp
+++ b/src/LogEvents.cpp
@@ -11,6 +11,11 @@
 constexpr std::array catalogue{
     LogEventInfo{LogNumber::ProcessStarted, LogLevel::Info, "process-started", "The process has started and listens."},
     LogEventInfo{LogNumber::ProcessStopped, LogLevel::Info, "process-stopped", "The process ends; nothing was in flight."},
+    LogEventInfo{LogNumber::SettingsRead,
+                 LogLevel::Info,
+                 "settings-read",
+                 "The settings were read again; what is not named as applied holds from the next start."},
+    LogEventInfo{LogNumber::SettingsRefused, LogLevel::Error, "settings-refused", "The settings were read again and have mistakes; the former ones hold."},
     LogEventInfo{LogNumber::ConfigurationInForce, LogLevel::Info, "configuration-in-force", "This proxy works by the configuration version named."},
     LogEventInfo{LogNumber::ConfigurationRefused,
                  LogLevel::Error,
@@ -56,6 +61,11 @@
     LogEventInfo{LogNumber::StatementSlow, LogLevel::Info, "statement-slow", "A statement was answered late or after more than one try."},
     LogEventInfo{LogNumber::StatementInDoubt, LogLevel::Warning, "statement-in-doubt", "A client was told that its write or commit may or may not have run."},
     LogEventInfo{LogNumber::StatementRefused, LogLevel::Info, "statement-refused", "A client's statement did not succeed."},
+    LogEventInfo{LogNumber::StatementDone, LogLevel::Info, "statement-done", "A member ran a client's statement, in time and at the first try."},
+    LogEventInfo{LogNumber::StatementRetried,
+                 LogLevel::Info,
+                 "statement-retried",
+                 "A statement that has not run is given to another member, or to the same one later."},
     LogEventInfo{LogNumber::StoreLost, LogLevel::Warning, "store-lost", "The platform's store does not answer or turns this VM away."},
     LogEventInfo{LogNumber::StoreRegained, LogLevel::Info, "store-regained", "The platform's store answers again."},
     LogEventInfo{LogNumber::StoreObjectUnreadable,
@@ -69,6 +79,10 @@
                  "The drain timeout has passed: transactions that are still open are rolled back; nothing of them ran."},
     LogEventInfo{LogNumber::UpstreamConnectFailed, LogLevel::Warning, "upstream-connect-failed", "A connection to a member could not be opened."},
     LogEventInfo{LogNumber::LinesDropped, LogLevel::Warning, "lines-dropped", "Log lines were dropped to keep the volume bounded."},
+    LogEventInfo{LogNumber::MetricsUnavailable,
+                 LogLevel::Warning,
+                 "metrics-unavailable",
+                 "Metrics cannot be served at the address of the settings; all else goes on."},
 };
 
 } // namespace
--- a/src/LogEvents.h
+++ b/src/LogEvents.h
@@ -27,6 +27,8 @@
 enum class LogNumber : int {
     ProcessStarted = 101,
     ProcessStopped = 102,
+    SettingsRead = 103,
+    SettingsRefused = 104,
     ConfigurationInForce = 201,
     ConfigurationRefused = 202,
     VmListChanged = 301,
@@ -57,6 +59,8 @@
     StatementSlow = 503,
     StatementInDoubt = 504,
     StatementRefused = 505,
+    StatementDone = 506,
+    StatementRetried = 507,
     StoreLost = 601,
     StoreRegained = 602,
     StoreObjectUnreadable = 603,
@@ -64,6 +68,7 @@
     DrainCutTransactions = 702,
     UpstreamConnectFailed = 801,
     LinesDropped = 802,
+    MetricsUnavailable = 803,
 };
 
 /** One row of the catalogue. */
--- a/src/Metrics.cpp
+++ b/src/Metrics.cpp
@@ -49,6 +49,7 @@
     , queued_(&gauge(*registry_, "figward_queued_requests", "Requests that wait for a connection"))
     , requestsUnderWay_(&gauge(*registry_, "figward_requests_under_way", "Callers' requests that are not answered yet"))
     , configurationVersion_(&gauge(*registry_, "figward_configuration_version", "Version of the configuration in force"))
+    , droppedLines_(&gauge(*registry_, "figward_log_lines_dropped", "Log lines not written since the start, to keep the volume bounded"))
 {
     prometheus::Family<prometheus::Counter> &requests = BuildCounter().Name("figward_requests_total").Help("Answers by outcome").Register(*registry_);
     for (std::size_t outcome = 0; outcome < outcomes; ++outcome) {
@@ -79,6 +80,9 @@
 void Metrics::observe(const Event &event)
 {
     events_[event.body_.index()]->Increment();
+    if (const auto *session = std::get_if<SessionEvent>(&event.body_); session != nullptr && sessions_) {
+        sessions_->observe(*session);
+    }
 }
 
 void Metrics::observe(const Effect &effect)
@@ -91,6 +95,10 @@
         platformCalls_->Increment();
     } else if (std::holds_alternative<SendControl>(effect)) {
         controlCalls_->Increment();
+    } else if (const auto *session = std::get_if<SessionEffect>(&effect)) {
+        if (sessions_) {
+            sessions_->observe(*session);
+        }
     } else if (const auto *log = std::get_if<WriteLog>(&effect)) {
         if (log->number_ == LogNumber::PrimaryPromoted) {
             failovers_->Increment();
@@ -109,8 +117,19 @@
     }
 }
 
-void Metrics::observe(const ProxyState &state)
+void Metrics::observeDroppedLines(std::uint64_t lines)
 {
+    droppedLines_->Set(static_cast<double>(lines));
+}
+
+void Metrics::observe(const ProxyState &state, Time now)
+{
+    if (state.sessions_) {
+        if (!sessions_) {
+            sessions_ = std::make_unique<SessionMetrics>(*registry_);
+        }
+        sessions_->observe(*state.sessions_, now);
+    }
     std::size_t connections = 0;
     std::size_t queued = 0;
     for (const auto &[id, owner] : state.owners_) {
--- a/src/Metrics.h
+++ b/src/Metrics.h
@@ -5,6 +5,7 @@
 
 #include "Effect.h"
 #include "Event.h"
+#include "SessionMetrics.h"
 
 #include <absl/status/status.h>
 #include <array>
@@ -28,7 +29,9 @@
     void observe(const Event &event);
     void observe(const Effect &effect);
     /** Takes the gauges from \p state; called now and then, not for each event. */
-    void observe(const ProxyState &state);
+    void observe(const ProxyState &state, Time now);
+    /** Takes the number of log lines that were dropped since the start. */
+    void observeDroppedLines(std::uint64_t lines);
     [[nodiscard]] const prometheus::Registry &registry() const;
 
 private:
@@ -50,6 +53,8 @@
     prometheus::Gauge *queued_;
     prometheus::Gauge *requestsUnderWay_;
     prometheus::Gauge *configurationVersion_;
+    prometheus::Gauge *droppedLines_;
+    std::unique_ptr<SessionMetrics> sessions_; ///< Once the process serves sessions.
     std::unique_ptr<prometheus::Exposer> exposer_;
 };
 
--- a/src/SessionEvents.h
+++ b/src/SessionEvents.h
@@ -208,6 +208,20 @@
     bool ready_ = false;
 };
 
-using SessionEffect = std::variant<AcceptSession, RefuseSession, AnswerSession, CloseSession, SendToMember, SendHeartbeat, CallStore, CallPromotion, SetReady>;
+/** A statement that needs a member was answered; to be counted. */
+struct StatementEnded
+{
+    Consistency consistency_ = Consistency::Primary;
+    bool writes_ = false; ///< A write, or a commit.
+    ReplyCode code_ = ReplyCode::None;
+    bool usedPrimary_ = false;
+    unsigned tries_ = 0;
+    Duration total_{};
+    Duration waiting_{}; ///< For a connection to a member.
+    std::optional<Duration> atMember_; ///< Since it was sent; none if it never was.
+};
+
+using SessionEffect =
+    std::variant<AcceptSession, RefuseSession, AnswerSession, CloseSession, SendToMember, SendHeartbeat, CallStore, CallPromotion, SetReady, StatementEnded>;
 
 } // namespace Figward
--- /dev/null
+++ b/src/SessionMetrics.cpp
@@ -0,0 +1,217 @@
+#include "SessionMetrics.h"
+
+#include "Overloaded.h"
+
+#include <algorithm>
+
+namespace Figward {
+
+namespace {
+
+using prometheus::BuildCounter;
+using prometheus::BuildGauge;
+using prometheus::BuildHistogram;
+
+/** From a quick read within a zone to the longest time-out of a route, in seconds. */
+const prometheus::Histogram::BucketBoundaries boundaries{0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4};
+
+/** A VM that was silent for longer does not count as heard. */
+constexpr Duration heardLately = std::chrono::seconds(1);
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+std::string routeName(Consistency consistency)
+{
+    switch (consistency) {
+    case Consistency::Primary:
+        return "primary";
+    case Consistency::BoundedStaleness:
+        return "bounded-staleness";
+    case Consistency::ReadYourWrites:
+        return "read-your-writes";
+    }
+    return "unknown";
+}
+
+/** Names of the alternatives of StoreRequest. */
+std::string callName(const StoreRequest &request)
+{
+    return std::visit(Overloaded{
+                          [](const ReadConfiguration &) { return "read-configuration"; },
+                          [](const WatchConfiguration &) { return "watch-configuration"; },
+                          [](const ReadMembers &) { return "read-members"; },
+                          [](const ReadVms &) { return "read-vms"; },
+                          [](const ReadClaims &) { return "read-claims"; },
+                          [](const RegisterVm &) { return "register-vm"; },
+                          [](const RemoveVm &) { return "remove-vm"; },
+                          [](const WriteClaim &) { return "write-claim"; },
+                      },
+                      request);
+}
+
+std::string resultName(StoreResult result)
+{
+    switch (result) {
+    case StoreResult::Done:
+        return "done";
+    case StoreResult::NotFound:
+        return "not-found";
+    case StoreResult::Conflict:
+        return "conflict";
+    case StoreResult::HistoryGone:
+        return "history-gone";
+    case StoreResult::Refused:
+        return "refused";
+    case StoreResult::Unreadable:
+        return "unreadable";
+    case StoreResult::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+prometheus::Gauge &gauge(prometheus::Registry &registry, const char *name, const char *help)
+{
+    return BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
+prometheus::Counter &counter(prometheus::Registry &registry, const char *name, const char *help)
+{
+    return BuildCounter().Name(name).Help(help).Register(registry).Add({});
+}
+
+} // namespace
+
+SessionMetrics::SessionMetrics(prometheus::Registry &registry)
+    : statements_(BuildCounter().Name("figward_statements_total").Help("Statements answered, by route, kind and outcome").Register(registry))
+    , times_(BuildHistogram().Name("figward_statement_seconds").Help("Times of statements, by route and stage").Register(registry))
+    , storeCalls_(BuildCounter().Name("figward_store_calls_total").Help("Calls to the platform's store, or to other VMs in its place").Register(registry))
+    , storeAnswers_(BuildCounter().Name("figward_store_answers_total").Help("Answers of the store by result; unknown: none came").Register(registry))
+    , promotions_(BuildCounter().Name("figward_promotion_calls_total").Help("Answers to calls that make a member the primary").Register(registry))
+    , memberConnections_(BuildGauge().Name("figward_member_connections").Help("Connections to members, in use or idle").Register(registry))
+    , authority_(BuildGauge().Name("figward_authority_seconds").Help("How much longer the group's primary may be used; zero: not").Register(registry))
+    , replicaReads_(counter(registry, "figward_statements_by_replicas_total", "Statements that a replica ran"))
+    , tries_(counter(registry, "figward_statement_retries_total", "Further tries of statements"))
+    , sessions_(gauge(registry, "figward_sessions", "Sessions that are open"))
+    , waiting_(gauge(registry, "figward_statements_waiting", "Statements that wait for a connection"))
+    , configurationVersion_(gauge(registry, "figward_session_configuration_version", "Version of the configuration in force"))
+    , configurationAge_(gauge(registry, "figward_configuration_age_seconds", "Since the configuration was last known to be the latest"))
+    , vmsHeard_(gauge(registry, "figward_vms_heard", "Other VMs that were heard within a second"))
+    , ready_(gauge(registry, "figward_ready", "Whether the VM says that it takes new clients"))
+{
+}
+
+void SessionMetrics::observe(const SessionEvent &event)
+{
+    if (const auto *answered = std::get_if<StoreAnswered>(&event)) {
+        storeAnswers_.Add({{"result", resultName(answered->result_)}}).Increment();
+    } else if (const auto *promoted = std::get_if<PromotionAnswered>(&event)) {
+        promotions_.Add({{"status", std::to_string(promoted->status_)}}).Increment();
+    }
+}
+
+void SessionMetrics::observe(const SessionEffect &effect)
+{
+    if (const auto *ended = std::get_if<StatementEnded>(&effect)) {
+        observeStatement(*ended);
+    } else if (const auto *call = std::get_if<CallStore>(&effect)) {
+        storeCalls_.Add({{"call", callName(call->call_.request_)}, {"to", call->call_.peer_.empty() ? "store" : "vm"}}).Increment();
+    }
+}
+
+prometheus::Counter &SessionMetrics::statementCounter(const StatementEnded &ended)
+{
+    auto &byCode = statementsByRoute_[static_cast<std::size_t>(ended.consistency_)][ended.writes_ ? 1 : 0];
+    prometheus::Counter *&found = byCode[static_cast<std::size_t>(ended.code_)];
+    if (found == nullptr) {
+        found = &statements_.Add({{"route", routeName(ended.consistency_)}, {"kind", ended.writes_ ? "write" : "read"}, {"outcome", toString(ended.code_)}});
+    }
+    return *found;
+}
+
+void SessionMetrics::observeTime(Consistency route, Stage stage, Duration time)
+{
+    static constexpr std::array stageNames{"total", "waiting", "member"};
+    prometheus::Histogram *&found = timesByRoute_[static_cast<std::size_t>(route)][static_cast<std::size_t>(stage)];
+    if (found == nullptr) {
+        found = &times_.Add({{"route", routeName(route)}, {"stage", stageNames[static_cast<std::size_t>(stage)]}}, boundaries);
+    }
+    found->Observe(seconds(time));
+}
+
+void SessionMetrics::observeStatement(const StatementEnded &ended)
+{
+    statementCounter(ended).Increment();
+    observeTime(ended.consistency_, Stage::Total, ended.total_);
+    observeTime(ended.consistency_, Stage::Waiting, ended.waiting_);
+    if (ended.atMember_) {
+        observeTime(ended.consistency_, Stage::Member, *ended.atMember_);
+    }
+    if (ended.code_ == ReplyCode::None && !ended.usedPrimary_) {
+        replicaReads_.Increment();
+    }
+    if (ended.tries_ > 1) {
+        tries_.Increment(ended.tries_ - 1);
+    }
+}
+
+void SessionMetrics::observe(const SessionServiceState &state, Time now)
+{
+    sessions_.Set(static_cast<double>(state.sessions_.size()));
+    std::size_t waiting = 0;
+    for (const auto &[id, group] : state.groups_) {
+        waiting += group.waiting_.size();
+    }
+    waiting_.Set(static_cast<double>(waiting));
+    ready_.Set(state.ready_.value_or(false) ? 1 : 0);
+    observeMembers(state);
+    observeAges(state, now);
+}
+
+void SessionMetrics::observeMembers(const SessionServiceState &state)
+{
+    for (const auto &[id, member] : state.members_) {
+        const auto [entry, isNew] = members_.try_emplace(id);
+        if (isNew) {
+            const prometheus::Labels labels{{"group", member.entry_.service_.value()}, {"member", id.value()}};
+            for (const std::size_t idle : {0U, 1U}) {
+                prometheus::Labels all = labels;
+                all["state"] = idle == 1 ? "idle" : "in-use";
+                entry->second[idle] = &memberConnections_.Add(all);
+            }
+        }
+        entry->second[0]->Set(static_cast<double>(member.connections_.size() - member.idle_.size()));
+        entry->second[1]->Set(static_cast<double>(member.idle_.size()));
+    }
+    std::erase_if(members_, [&](const auto &entry) {
+        const bool gone = !state.members_.contains(entry.first);
+        for (prometheus::Gauge *connections : entry.second) {
+            if (gone) {
+                memberConnections_.Remove(connections);
+            }
+        }
+        return gone;
+    });
+}
+
+void SessionMetrics::observeAges(const SessionServiceState &state, Time now)
+{
+    for (const auto &[id, group] : state.groups_) {
+        prometheus::Gauge *&left = groups_[id];
+        if (left == nullptr) {
+            left = &authority_.Add({{"group", id.value()}});
+        }
+        left->Set(holdsAuthority(group.authority_, now) ? seconds(group.authority_.validUntil_ - now) : 0);
+    }
+    if (state.configuration_) {
+        configurationVersion_.Set(static_cast<double>(state.configuration_->version_.value()));
+        configurationAge_.Set(seconds(now - state.schedule_.configurationChecked_.value_or(state.startedAt_)));
+    }
+    const auto heard = std::ranges::count_if(state.peers_, [&](const auto &entry) { return entry.second.heard_ && now - *entry.second.heard_ < heardLately; });
+    vmsHeard_.Set(static_cast<double>(heard));
+}
+
+} // namespace Figward
--- /dev/null
+++ b/src/SessionMetrics.h
@@ -0,0 +1,68 @@
+/** \file
+ * Defines what is counted of database sessions: their statements by route and outcome, where time goes, and how old what they rest on is.
+ */
+#pragma once
+
+#include "SessionEvents.h"
+#include "SessionState.h"
+
+#include <array>
+#include <map>
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+namespace Figward {
+
+/** The counters of one process that serves sessions. For one thread; readers of the registry may be others. */
+class SessionMetrics
+{
+public:
+    explicit SessionMetrics(prometheus::Registry &registry);
+    void observe(const SessionEvent &event);
+    void observe(const SessionEffect &effect);
+    /** Takes the gauges from \p state. */
+    void observe(const SessionServiceState &state, Time now);
+
+private:
+    /** Where the time of a statement goes. */
+    enum class Stage {
+        Total,
+        Waiting,
+        Member,
+    };
+
+    void observeStatement(const StatementEnded &ended);
+    void observeTime(Consistency route, Stage stage, Duration time);
+    prometheus::Counter &statementCounter(const StatementEnded &ended);
+    void observeMembers(const SessionServiceState &state);
+    void observeAges(const SessionServiceState &state, Time now);
+
+    prometheus::Family<prometheus::Counter> &statements_;
+    prometheus::Family<prometheus::Histogram> &times_;
+    prometheus::Family<prometheus::Counter> &storeCalls_;
+    prometheus::Family<prometheus::Counter> &storeAnswers_;
+    prometheus::Family<prometheus::Counter> &promotions_;
+    prometheus::Family<prometheus::Gauge> &memberConnections_;
+    prometheus::Family<prometheus::Gauge> &authority_;
+    prometheus::Counter &replicaReads_;
+    prometheus::Counter &tries_;
+    prometheus::Gauge &sessions_;
+    prometheus::Gauge &waiting_;
+    prometheus::Gauge &configurationVersion_;
+    prometheus::Gauge &configurationAge_;
+    prometheus::Gauge &vmsHeard_;
+    prometheus::Gauge &ready_;
+    // Looked up for each statement: finding them by their labels would cost some microseconds each time.
+    static constexpr std::size_t routes = 3;
+    static constexpr std::size_t stages = 3;
+    static constexpr std::size_t codes = static_cast<std::size_t>(ReplyCode::Other) + 1;
+    std::array<std::array<prometheus::Histogram *, stages>, routes> timesByRoute_{};
+    std::array<std::array<std::array<prometheus::Counter *, codes>, 2>, routes> statementsByRoute_{};
+    std::map<MemberId, std::array<prometheus::Gauge *, 2>> members_; ///< In use and idle, of the members that are known.
+    std::map<ServiceId, prometheus::Gauge *> groups_;
+};
+
+} // namespace Figward
--- a/src/SessionState.h
+++ b/src/SessionState.h
@@ -36,7 +36,9 @@
     bool moved_ = false; ///< Left a member that did not answer.
     bool usesPrimary_ = false; ///< Its answer counts only while the member is surely the primary.
     bool first_ = false; ///< First of its operation: no member has run anything of it.
-    Time sentAt_;
+    MemberId member_; ///< Given to it last.
+    Time placedAt_; ///< When it was given to a member for the first time.
+    Time sentAt_; ///< When the statement itself was last sent.
     unsigned tries_ = 0;
     std::set<MemberId> avoided_; ///< Refused it or fell silent.
     std::optional<LogPoint> after_; ///< The log must hold this.
--- a/src/SessionStatements.cpp
+++ b/src/SessionStatements.cpp
@@ -47,6 +47,8 @@
     // What a transaction reads was settled when it began; only its writes still depend on who is the primary.
     session.run_->usesPrimary_ = changesDatabase(session, *session.run_);
     session.run_->tries_ = 1;
+    session.run_->member_ = connection->member_;
+    session.run_->placedAt_ = now;
     connection->steps_ = stepsFor(session, *connection);
     sendNextStep(state, *connection, now, out);
 }
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -31,6 +31,7 @@
     std::string readyAddress_; ///< Tells the platform whether it should send new clients here.
     std::string promotionAddress_; ///< The platform's call that makes a member the primary.
     std::int64_t drainMillis_ = 0; ///< Time that the platform gives a process to end.
+    bool operator==(const SessionSettings &) const = default;
 };
 
 /** Settings of one proxy process. */
--- a/src/ShellPorts.h
+++ b/src/ShellPorts.h
@@ -72,6 +72,11 @@
 public:
     virtual ~LogPort() = default;
     virtual void write(LogNumber number, const std::vector<LogField> &fields) = 0;
+    /** Lines that were not written, to keep the volume bounded. */
+    [[nodiscard]] virtual std::uint64_t droppedLines() const
+    {
+        return 0;
+    }
 };
 
 } // namespace Figward
--- a/src/Signals.cpp
+++ b/src/Signals.cpp
@@ -1,13 +1,15 @@
 #include "Signals.h"
 
-#include <csignal>
 #include <future>
 
 namespace Figward {
 
-Signals::Signals()
-    : set_(context_, SIGTERM, SIGINT)
+Signals::Signals(std::initializer_list<int> numbers)
+    : set_(context_)
 {
+    for (const int number : numbers) {
+        set_.add(number);
+    }
 }
 
 Signals::~Signals()
--- a/src/Signals.h
+++ b/src/Signals.h
@@ -1,11 +1,13 @@
 /** \file
- * Defines Signals, which turns SIGTERM and SIGINT into calls on a thread of its own.
+ * Defines Signals, which turns signals such as SIGTERM and SIGINT into calls on a thread of its own.
  */
 #pragma once
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <csignal>
 #include <functional>
+#include <initializer_list>
 #include <thread>
 
 namespace Figward {
@@ -14,7 +16,7 @@
 class Signals
 {
 public:
-    Signals();
+    explicit Signals(std::initializer_list<int> numbers = {SIGTERM, SIGINT});
     Signals(const Signals &) = delete;
     Signals &operator=(const Signals &) = delete;
     ~Signals();
--- a/src/StatementDispatch.cpp
+++ b/src/StatementDispatch.cpp
@@ -86,6 +86,8 @@
     run.connection_ = connection.id_;
     run.usesPrimary_ = authority;
     run.after_ = authority ? std::nullopt : readFloor(session, group, now);
+    run.member_ = connection.member_;
+    run.placedAt_ = run.tries_ == 0 ? now : run.placedAt_;
     ++run.tries_;
     if (session.state_ != TransactionState::None) {
         session.pinned_ = connection.id_;
--- /dev/null
+++ b/src/StatementLog.cpp
@@ -0,0 +1,90 @@
+#include "StatementLog.h"
+
+#include "ProxyState.h"
+#include "SessionService.h"
+#include "StatementNeeds.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace Figward {
+
+namespace {
+
+/** A statement slower than this is told as slow: objectives of interactive work are below it. */
+constexpr Duration slowStatement = std::chrono::milliseconds(500);
+
+std::string millisBetween(Time from, Time to)
+{
+    return from == Time() ? "-" : absl::StrCat(toMillis(to - from));
+}
+
+std::string positionText(const std::optional<LogPoint> &point)
+{
+    return point ? absl::StrCat(point->term_.value(), ".", point->position_.value()) : "-";
+}
+
+/** What the choice of a member rested on, with its age or version. */
+std::vector<LogField> inputs(ProxyState &state, const ClientSession &session, const StatementRun &run, Time now)
+{
+    const SessionGroup *group = findGroup(state, session.route_.service_);
+    const PrimaryAuthority authority = group == nullptr ? PrimaryAuthority() : group->authority_;
+    const std::optional<SessionConfiguration> &configuration = state.sessions_->configuration_;
+    return {{"member", run.member_ == MemberId() ? "-" : run.member_.value()},
+            {"primary", run.usesPrimary_ ? "yes" : "no"},
+            {"after", positionText(run.after_)},
+            {"epoch", absl::StrCat(authority.epoch_)},
+            // How much longer the primary may be used; negative: that is over.
+            {"authority_ms", authority.validUntil_ == Time() ? "-" : absl::StrCat(toMillis(authority.validUntil_ - now))},
+            {"configuration", configuration ? absl::StrCat(configuration->version_.value()) : "-"}};
+}
+
+WriteLog makeLine(ProxyState &state, const ClientSession &session, const StatementRun &run, LogNumber number, std::string outcome, std::string reason, Time now)
+{
+    WriteLog line{number,
+                  {{"id", run.statement_.id_},
+                   {"session", absl::StrCat(session.key_.value())},
+                   {"database", session.database_},
+                   {"outcome", std::move(outcome)},
+                   {"reason", std::move(reason)},
+                   {"tries", absl::StrCat(run.tries_)},
+                   {"ms", absl::StrCat(toMillis(now - run.arrived_))},
+                   {"wait_ms", millisBetween(run.placedAt_ == Time() ? Time() : run.arrived_, run.placedAt_)},
+                   {"member_ms", millisBetween(run.sentAt_, now)}}};
+    for (LogField &field : inputs(state, session, run, now)) {
+        line.fields_.push_back(std::move(field));
+    }
+    return line;
+}
+
+LogNumber numberOf(const StatementRun &run, ReplyCode code, Time now)
+{
+    if (code == ReplyCode::None) {
+        const bool ordinary = run.tries_ <= 1 && now - run.arrived_ <= slowStatement;
+        return ordinary ? LogNumber::StatementDone : LogNumber::StatementSlow;
+    }
+    return code == ReplyCode::InDoubt ? LogNumber::StatementInDoubt : LogNumber::StatementRefused;
+}
+
+} // namespace
+
+void tellOutcome(ProxyState &state, const ClientSession &session, const StatementRun &run, const SessionReply &reply, Time now, Effects &out)
+{
+    out.emplace_back(makeLine(state, session, run, numberOf(run, reply.code_, now), toString(reply.code_), reply.text_, now));
+    StatementEnded ended;
+    ended.consistency_ = session.route_.consistency_;
+    ended.writes_ = isWrite(session, run.statement_) || run.statement_.kind_ == StatementKind::Commit;
+    ended.code_ = reply.code_;
+    ended.usedPrimary_ = run.usesPrimary_;
+    ended.tries_ = run.tries_;
+    ended.total_ = now - run.arrived_;
+    ended.waiting_ = (run.placedAt_ == Time() ? now : run.placedAt_) - run.arrived_;
+    ended.atMember_ = run.sentAt_ == Time() ? std::nullopt : std::optional(now - run.sentAt_);
+    out.emplace_back(SessionEffect(ended));
+}
+
+void tellRetry(ProxyState &state, const ClientSession &session, const std::string &reason, Time now, Effects &out)
+{
+    out.emplace_back(makeLine(state, session, *session.run_, LogNumber::StatementRetried, "retried", reason, now));
+}
+
+} // namespace Figward
--- a/src/StatementOutcome.cpp
+++ b/src/StatementOutcome.cpp
@@ -4,6 +4,7 @@
 #include "ProxyState.h"
 #include "SessionService.h"
 #include "SessionStatements.h"
+#include "StatementLog.h"
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
@@ -18,27 +19,6 @@
 /** Pause before a statement that was refused goes to the same member again: a full member frees a slot every few milliseconds. */
 constexpr Duration retryPause = std::chrono::milliseconds(25);
 
-/** A statement slower than this is logged. */
-constexpr Duration slowStatement = std::chrono::milliseconds(500);
-
-void logStatement(const ClientSession &session,
-                  const StatementRun &run,
-                  LogNumber number,
-                  std::string_view outcome,
-                  std::string_view reason,
-                  Time now,
-                  Effects &out)
-{
-    out.emplace_back(WriteLog{number,
-                              {{"id", run.statement_.id_},
-                               {"session", absl::StrCat(session.key_.value())},
-                               {"database", session.database_},
-                               {"outcome", std::string(outcome)},
-                               {"reason", std::string(reason)},
-                               {"tries", absl::StrCat(run.tries_)},
-                               {"ms", absl::StrCat(toMillis(now - run.arrived_))}}});
-}
-
 void answer(const ClientSession &session, SessionReply reply, Effects &out)
 {
     reply.state_ = session.state_;
@@ -101,12 +81,7 @@
 void finish(ProxyState &state, ClientSession &session, SessionReply reply, Time now, Effects &out)
 {
     const StatementRun run = *std::exchange(session.run_, std::nullopt);
-    const bool plain = reply.code_ == ReplyCode::None;
-    if (!plain || now - run.arrived_ > slowStatement || run.tries_ > 1) {
-        const LogNumber number =
-            plain ? LogNumber::StatementSlow : (reply.code_ == ReplyCode::InDoubt ? LogNumber::StatementInDoubt : LogNumber::StatementRefused);
-        logStatement(session, run, number, toString(reply.code_), reply.text_, now, out);
-    }
+    tellOutcome(state, session, run, reply, now, out);
     answer(session, std::move(reply), out);
     takeNextStatement(state, session, now, out);
 }
@@ -161,6 +136,7 @@
         refuse(state, session, ReplyCode::Retry, comeBack(comeBackAfter, reason), now, out);
         return;
     }
+    tellRetry(state, session, reason, now, out);
     wait(state, session);
 }
 
--- a/test/support/SessionWorld.cpp
+++ b/test/support/SessionWorld.cpp
@@ -230,6 +230,7 @@
         [&](const CallStore &body) { body.call_.peer_.empty() ? callStore(vm, body.call_) : callMirror(vm, body.call_); },
         [&](const CallPromotion &body) { callPromotion(vm, body); },
         [&](const SetReady &body) { vms_[vm].ready_ = body.ready_; },
+        [](const StatementEnded & /*body*/) {},
     };
     std::visit(handle, effect);
 }
