--- a/src/CommandTimeline.cpp
+++ b/src/CommandTimeline.cpp
@@ -15,6 +15,8 @@
 {
     std::vector<std::string> files_;
     std::string chromeFile_;
+    std::string request_; ///< Empty: all events.
+    unsigned aroundMillis_ = 2000; ///< A primary's replacement and what led to it fit into this.
 };
 
 TimeLine readLogs(const std::vector<std::string> &files)
@@ -30,7 +32,16 @@
 
 void runTimeline(const TimelineOptions &options)
 {
-    const TimeLine timeLine = readLogs(options.files_);
+    TimeLine timeLine = readLogs(options.files_);
+    if (!options.request_.empty()) {
+        TimeLine followed = followRequest(timeLine, options.request_, std::chrono::milliseconds(options.aroundMillis_));
+        if (followed.events_.empty()) {
+            std::cerr << "no line carries the id " << options.request_ << '\n';
+            exitWith(ExitCode::BadInput);
+        }
+        followed.unreadable_ = std::move(timeLine.unreadable_);
+        timeLine = std::move(followed);
+    }
     if (options.chromeFile_.empty()) {
         writeText(timeLine, std::cout);
     } else {
@@ -58,6 +69,10 @@
     CLI::App *command = app.add_subcommand("timeline", "Merge the logs of several processes into one time line");
     command->add_option("FILE", options->files_, "Log files")->required();
     command->add_option("--chrome", options->chromeFile_, "Write Chrome trace JSON to this file instead of text to standard output");
+    command
+        ->add_option("--request", options->request_, "Only what concerns the request with this id: its lines, and what the processes came to believe around it")
+        ->type_name("ID");
+    command->add_option("--around", options->aroundMillis_, "With --request: milliseconds before its first and after its last line")->capture_default_str();
     command->callback([options] { runTimeline(*options); });
 }
 
--- a/src/SessionStatements.cpp
+++ b/src/SessionStatements.cpp
@@ -3,6 +3,7 @@
 #include "MemberConnections.h"
 #include "ProxyState.h"
 #include "SessionService.h"
+#include "StatementDispatch.h"
 #include "StatementNeeds.h"
 #include "StatementOutcome.h"
 #include "StatementSteps.h"
@@ -257,7 +258,7 @@
     }
     const StatementRun &run = *session->run_;
     if (!run.sent_) {
-        refuse(state, *session, ReplyCode::Retry, comeBack(comeBackAfter, "no member could run it in time"), now, out);
+        refuse(state, *session, ReplyCode::Retry, comeBack(comeBackAfter, whyItWaits(state, *session, now)), now, out);
         return;
     }
     if (session->state_ != TransactionState::None && run.statement_.kind_ != StatementKind::Commit) {
--- a/src/StatementDispatch.cpp
+++ b/src/StatementDispatch.cpp
@@ -135,6 +135,18 @@
 
 } // namespace
 
+std::string whyItWaits(ProxyState &state, const ClientSession &session, Time now)
+{
+    const SessionGroup *group = findGroup(state, session.route_.service_);
+    if (group == nullptr || group->members_.empty()) {
+        return "no member of its group is known";
+    }
+    if (!placementOptions(state, session, *group, now).empty()) {
+        return session.run_->tries_ == 0 ? "all connections to the members that may run it are in use" : "the members that may run it refused it or were silent";
+    }
+    return needsPrimary(session, *session.run_) ? "no primary may be used at present" : "no member is known to be fresh enough";
+}
+
 void dispatchStatements(ProxyState &state, SessionGroup &group, Time now, Effects &out)
 {
     const std::vector<SessionKey> waiting = group.waiting_;
--- a/src/StatementDispatch.h
+++ b/src/StatementDispatch.h
@@ -12,5 +12,7 @@
 
 /** Finds connections for the statements of \p group that wait. */
 void dispatchStatements(ProxyState &state, SessionGroup &group, Time now, Effects &out);
+/** Why the statement of \p session still waits, for the client and the log. */
+std::string whyItWaits(ProxyState &state, const ClientSession &session, Time now);
 
 } // namespace Figward
--- a/src/TimeLine.cpp
+++ b/src/TimeLine.cpp
@@ -59,6 +59,29 @@
     std::ranges::stable_sort(timeLine.events_, {}, &LogLine::time_);
 }
 
+TimeLine followRequest(const TimeLine &timeLine, const std::string &id, std::chrono::milliseconds around)
+{
+    const auto concerns = [&](const LogLine &event) {
+        return std::ranges::any_of(event.fields_, [&](const LogField &field) { return field.key_ == "id" && field.value_ == id; });
+    };
+    const auto aboutSomeRequest = [](const LogLine &event) {
+        return std::ranges::any_of(event.fields_, [](const LogField &field) { return field.key_ == "id"; });
+    };
+    const auto first = std::ranges::find_if(timeLine.events_, concerns);
+    TimeLine followed;
+    if (first == timeLine.events_.end()) {
+        return followed;
+    }
+    const auto last = std::ranges::find_if(timeLine.events_.rbegin(), timeLine.events_.rend(), concerns);
+    for (const LogLine &event : timeLine.events_) {
+        const bool near = event.time_ >= first->time_ - around && event.time_ <= last->time_ + around;
+        if (concerns(event) || (near && !aboutSomeRequest(event))) {
+            followed.events_.push_back(event);
+        }
+    }
+    return followed;
+}
+
 void writeText(const TimeLine &timeLine, std::ostream &out)
 {
     std::size_t width = 0;
--- a/src/TimeLine.h
+++ b/src/TimeLine.h
@@ -29,6 +29,11 @@
 void addLog(TimeLine &timeLine, std::istream &in, const std::string &file);
 /** Orders the events by time. Events of the same millisecond keep the order in which they were added, so that each process's own order stays. */
 void orderByTime(TimeLine &timeLine);
+/**
+ * What concerns the request \p id, over all processes: the lines that carry the id, and what any process came to believe (of the members, the store, the
+ * configuration) from \p around before the first of them to \p around after the last. Lines about other requests are left out.
+ */
+TimeLine followRequest(const TimeLine &timeLine, const std::string &id, std::chrono::milliseconds around);
 /** Writes one line an event: time, milliseconds since the event before, process, number, name and fields. */
 void writeText(const TimeLine &timeLine, std::ostream &out);
 /** Writes the JSON that chrome://tracing and Perfetto read: a track for each process, an instant for each event. */
--- a/test/correctness/DocumentsMatchTheCode.cpp
+++ b/test/correctness/DocumentsMatchTheCode.cpp
@@ -1,6 +1,8 @@
 #include "ConfigurationFields.h"
 #include "LogEvents.h"
 #include "LogLine.h"
+#include "Metrics.h"
+#include "ProxyState.h"
 #include "Settings.h"
 #include "support/TestFiles.h"
 
@@ -8,6 +10,8 @@
 #include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
 #include <gmock/gmock.h>
+#include <regex>
+#include <set>
 
 using namespace Figward;
 using namespace testing;
@@ -110,3 +114,29 @@
     }
     EXPECT_THAT(rowsUnder("docs/EVENTS.md", ""), ElementsAreArray(expected)) << absl::StrJoin(expected, "\n");
 }
+
+// An on-call engineer looks a metric up that a process serves, or looks for one that the page names: both must be there.
+TEST(DocumentsMatchTheCode, everyMetric)
+{
+    Metrics metrics;
+    ProxyState state = makeProxyState({}, 1);
+    SessionServiceState &sessions = state.sessions_.emplace();
+    sessions.members_[MemberId("m")].entry_.service_ = ServiceId("g");
+    sessions.groups_[ServiceId("g")].id_ = ServiceId("g");
+    metrics.observe(state, Time());
+    metrics.observe(Effect(SessionEffect(StatementEnded{.atMember_ = Duration(1)})));
+    metrics.observe(Effect(SessionEffect(CallStore{StoreCall{.request_ = ReadMembers{}}})));
+    metrics.observe(Event{Time(), SessionEvent(StoreAnswered{})});
+    metrics.observe(Event{Time(), SessionEvent(PromotionAnswered{})});
+    std::set<std::string> served;
+    for (const prometheus::MetricFamily &family : metrics.registry().Collect()) {
+        served.insert(family.name);
+    }
+    const std::string page = Figward::Testing::readRepositoryFile("docs/OPERATIONS.md");
+    std::set<std::string> named;
+    const std::regex name("`(figward_[a-z_]+)");
+    for (std::sregex_iterator found(page.begin(), page.end(), name), end; found != end; ++found) {
+        named.insert((*found)[1]);
+    }
+    EXPECT_THAT(named, ElementsAreArray(served));
+}
--- a/test/support/SessionWorld.h
+++ b/test/support/SessionWorld.h
@@ -117,6 +117,8 @@
     [[nodiscard]] std::vector<std::string> logged(LogNumber number) const;
     /** What the world itself did, and all log events, oldest first. */
     [[nodiscard]] std::vector<std::string> story() const;
+    /** All log events as the lines of a file; the world begins at 03:00 of an arbitrary day. */
+    [[nodiscard]] std::string logText() const;
     /** Notes what a test does for story(). */
     void note(const std::string &text);
     /** Compares what clients were told with the members' logs. */
@@ -225,6 +227,7 @@
     std::vector<std::pair<LogNumber, std::string>> log_;
     std::map<unsigned, Time> lastRuns_;
     std::vector<std::string> story_;
+    std::string logText_;
 };
 
 } // namespace Figward::Testing
--- /dev/null
+++ b/test/support/SessionWorldClients.cpp
@@ -0,0 +1,207 @@
+#include "support/SessionWorld.h"
+
+#include "Overloaded.h"
+#include "Reducer.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <algorithm>
+
+namespace Figward::Testing {
+
+std::size_t SessionWorld::open(unsigned vm, const std::string &database)
+{
+    WorldClient client;
+    client.vm_ = vm;
+    client.key_ = SessionKey(clients_.size() + 1);
+    client.database_ = database;
+    clients_.push_back(client);
+    give(vm, SessionEvent(SessionOpened{client.key_, database}));
+    return clients_.size() - 1;
+}
+
+std::string SessionWorld::send(std::size_t client, StatementKind kind, const std::string &text)
+{
+    ClientStatement statement;
+    statement.id_ = absl::StrCat("s", nextStatement_++);
+    statement.kind_ = kind;
+    statement.text_ = text;
+    send(client, statement);
+    return statement.id_;
+}
+
+void SessionWorld::send(std::size_t number, const ClientStatement &statement)
+{
+    WorldClient &client = clients_[number];
+    const ReadNeed need{client.lastCommit_, now_};
+    if (statement.kind_ == StatementKind::Begin || statement.kind_ == StatementKind::BeginRead) {
+        transactionWrites_.erase(number);
+        transactionNeeds_[number] = need;
+    }
+    const auto transaction = transactionNeeds_.find(number);
+    needs_[statement.id_] = transaction == transactionNeeds_.end() ? need : transaction->second;
+    if (statement.kind_ == StatementKind::Commit || statement.kind_ == StatementKind::Rollback) {
+        transactionNeeds_.erase(number);
+    }
+    const bool inTransaction = transactionNeeds_.contains(number);
+    if (inTransaction && statement.kind_ == StatementKind::Write) {
+        transactionWrites_[number] = statement.id_;
+    }
+    client.sent_.insert(statement.id_);
+    client.unanswered_.push_back(statement.id_);
+    give(client.vm_, SessionEvent(StatementArrived{client.key_, statement}));
+}
+
+void SessionWorld::close(std::size_t client)
+{
+    clients_[client].closed_ = true;
+    give(clients_[client].vm_, SessionEvent(SessionClosed{clients_[client].key_}));
+}
+
+const SessionReply *SessionWorld::answerTo(std::size_t client, const std::string &id) const
+{
+    const std::vector<ClientAnswer> &answers = clients_[client].answers_;
+    const auto found = std::ranges::find(answers.rbegin(), answers.rend(), id, &ClientAnswer::id_);
+    return found == answers.rend() ? nullptr : &found->reply_;
+}
+
+SessionReply SessionWorld::ask(std::size_t client, StatementKind kind, const std::string &text, Duration limit)
+{
+    const std::string id = send(client, kind, text);
+    const Time end = now_ + limit;
+    while (answerTo(client, id) == nullptr && now_ < end) {
+        run(std::chrono::milliseconds(1));
+    }
+    const SessionReply *reply = answerTo(client, id);
+    SessionReply none;
+    none.code_ = ReplyCode::Other;
+    none.text_ = "no answer";
+    return reply == nullptr ? none : *reply;
+}
+
+const WorldClient &SessionWorld::client(std::size_t client) const
+{
+    return clients_[client];
+}
+
+WorldClient *SessionWorld::findClient(unsigned vm, SessionKey key)
+{
+    const auto found = std::ranges::find_if(clients_, [&](const WorldClient &client) { return client.vm_ == vm && client.key_ == key && !client.closed_; });
+    return found == clients_.end() ? nullptr : &*found;
+}
+
+void SessionWorld::takeAnswer(unsigned vm, const AnswerSession &effect)
+{
+    WorldClient *client = findClient(vm, effect.session_);
+    if (client == nullptr) {
+        return;
+    }
+    if (client->unanswered_.empty()) {
+        violate("an answer to nothing");
+        return;
+    }
+    const std::string id = client->unanswered_.front();
+    client->unanswered_.pop_front();
+    const ClientAnswer answer{id, effect.reply_, now_};
+    client->answers_.push_back(answer);
+    const bool done = effect.reply_.code_ == ReplyCode::None;
+    if (done && effect.reply_.receipt_ != "-" && effect.reply_.receipt_ != absl::StrCat("receipt-", id)) {
+        violate(absl::StrCat("statement ", id, " was answered with ", effect.reply_.receipt_));
+    }
+    if (done && !effect.reply_.rows_.empty()) {
+        checkRead(*client, answer);
+    }
+    if (promisesNotRun(effect.reply_.code_) || effect.reply_.code_ == ReplyCode::Aborted) {
+        promisedNotRun_.insert(id);
+    }
+    if (!done) {
+        return;
+    }
+    noteAcknowledged(*client, answer);
+}
+
+void SessionWorld::noteAcknowledged(WorldClient &client, const ClientAnswer &answer)
+{
+    // Of a transaction, the log holds the writes and not the commit: its last one stands for all.
+    std::string write = answer.id_;
+    if (const auto writes = transactionWrites_.find(&client - clients_.data()); writes != transactionWrites_.end()) {
+        const bool committed = answer.reply_.state_ == TransactionState::None;
+        write = committed ? writes->second : std::string();
+        if (committed) {
+            transactionWrites_.erase(writes);
+        }
+    }
+    const Standin::LineMember &leader = group_.leader();
+    for (const auto &[member, state] : group_.members()) {
+        // An answer comes soon after its commit: only the end of the log can hold it.
+        constexpr std::size_t searched = 300;
+        const std::size_t first = state.log_.size() > searched ? state.log_.size() - searched : 0;
+        for (std::size_t entry = first; entry < state.log_.size(); ++entry) {
+            const Standin::LineCommit &commit = state.log_[entry];
+            if (std::ranges::find(commit.statements_, write) == commit.statements_.end()) {
+                continue;
+            }
+            if (state.primary_ && state.term_ < leader.term_ && !Standin::holds(leader.log_, commit.point_)) {
+                violate(absl::StrCat("write ", write, " was acknowledged by the replaced primary ", member.value()));
+            }
+            acknowledged_.push_back(Acknowledged{write, commit.point_, now_});
+            client.lastCommit_ = commit.point_;
+        }
+    }
+}
+
+void SessionWorld::checkRead(const WorldClient &client, const ClientAnswer &answer)
+{
+    const std::vector<std::string> words = absl::StrSplit(answer.reply_.rows_.front(), ' ');
+    const Position seen(std::stoull(words.front()));
+    const Standin::LineMember &leader = group_.leader();
+    const ReadNeed &need = needs_.at(answer.id_);
+    for (const Acknowledged &commit : acknowledged_) {
+        if (commit.point_.position_ <= seen) {
+            continue;
+        }
+        const bool before = commit.at_ <= need.sent_;
+        const Duration age = need.sent_ - commit.at_;
+        const bool own = client.lastCommit_ && need.own_ && commit.point_ <= *need.own_ && client.sent_.contains(commit.id_);
+        const DatabaseRoute &route = store_.configuration_.databases_.at(client.database_);
+        const bool counts = route.consistency_ == Consistency::Primary || own || age > route.maxStaleness_;
+        const bool rolledBack = !Standin::holds(leader.log_, commit.point_);
+        if (before && counts && !rolledBack) {
+            violate(absl::StrCat("read ",
+                                 answer.id_,
+                                 " of ",
+                                 client.database_,
+                                 " at ",
+                                 answer.reply_.rows_.front(),
+                                 " lacks ",
+                                 commit.id_,
+                                 " at ",
+                                 commit.point_.position_.value()));
+            return;
+        }
+    }
+}
+
+void SessionWorld::checkLogs()
+{
+    std::map<std::string, unsigned> runs;
+    for (const Standin::LineCommit &commit : group_.leader().log_) {
+        for (const std::string &statement : commit.statements_) {
+            if (++runs[statement] > 1) {
+                violate(absl::StrCat("write ", statement, " ran twice"));
+            }
+            if (promisedNotRun_.contains(statement)) {
+                violate(absl::StrCat("write ", statement, " ran, though its client was told that it had not"));
+            }
+        }
+    }
+}
+
+void SessionWorld::violate(const std::string &what)
+{
+    note(what);
+    violations_.push_back(absl::StrCat("at ", toMillis(now_.time_since_epoch()), " ms: ", what));
+}
+
+} // namespace Figward::Testing
--- /dev/null
+++ b/test/support/SessionWorldMembers.cpp
@@ -0,0 +1,148 @@
+#include "support/SessionWorld.h"
+
+#include "Overloaded.h"
+#include "Reducer.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <algorithm>
+
+namespace Figward::Testing {
+
+namespace {
+
+constexpr Duration openTime = std::chrono::milliseconds(12);
+
+} // namespace
+
+ConnectionId SessionWorld::worldConnection(unsigned vm, ConnectionId connection) const
+{
+    constexpr std::uint64_t perVm = std::uint64_t{1} << 32U;
+    // An incarnation starts counting anew; its connections must not be taken for those of the one before.
+    return ConnectionId((vms_[vm].incarnation_ % perVm) * perVm + connection.value());
+}
+
+void SessionWorld::openConnection(unsigned vm, const OpenConnection &effect)
+{
+    unsigned member = 0;
+    while (memberId(member) != effect.member_) {
+        ++member;
+    }
+    vms_[vm].connections_[effect.connection_] = member;
+    const std::uint64_t incarnation = vms_[vm].incarnation_;
+    if (vmMemberCuts_.contains({vm, member})) {
+        return; // Packets are lost; the proxy's own time-out ends it.
+    }
+    schedule(now_ + openTime + 2 * config_.networkDelay_, [this, vm, member, incarnation, effect] {
+        if (vms_[vm].incarnation_ != incarnation || !vms_[vm].connections_.contains(effect.connection_)) {
+            return;
+        }
+        if (!group_.member(effect.member_).up_) {
+            vms_[vm].connections_.erase(effect.connection_);
+            give(vm, incarnation, ConnectionLost{effect.connection_, ConnectionEnd::Unreachable});
+            return;
+        }
+        if (vmMemberCuts_.contains({vm, member})) {
+            return;
+        }
+        group_.connect(worldConnection(vm, effect.connection_), effect.member_);
+        give(vm, incarnation, ConnectionOpened{effect.connection_});
+    });
+}
+
+void SessionWorld::sendToMember(unsigned vm, const SendToMember &effect)
+{
+    const std::uint64_t incarnation = vms_[vm].incarnation_;
+    const bool works =
+        effect.request_.verb_ == MemberVerb::Forward || effect.request_.verb_ == MemberVerb::Execute || effect.request_.verb_ == MemberVerb::Commit;
+    const Duration work = works ? config_.workTime_ : Duration(0);
+    schedule(now_ + config_.networkDelay_ + work, [this, vm, incarnation, effect] { runAtMember(vm, incarnation, effect); });
+}
+
+void SessionWorld::runAtMember(unsigned vm, std::uint64_t incarnation, const SendToMember &effect)
+{
+    if (vms_[vm].incarnation_ != incarnation || !vms_[vm].connections_.contains(effect.connection_)) {
+        return;
+    }
+    const unsigned member = vms_[vm].connections_.at(effect.connection_);
+    if (vmMemberCuts_.contains({vm, member})) {
+        return;
+    }
+    if (effect.request_.verb_ == MemberVerb::Forward) {
+        lastRuns_[member] = now_;
+    }
+    std::optional<Standin::LineAnswer> answer = group_.run(worldConnection(vm, effect.connection_), effect.request_, now_);
+    if (!answer) {
+        return;
+    }
+    schedule(now_ + config_.networkDelay_, [this, vm, incarnation, member, effect, answer] {
+        if (!vmMemberCuts_.contains({vm, member})) {
+            give(vm, incarnation, SessionEvent(MemberReplyArrived{effect.connection_, answer->reply_, answer->report_}));
+        }
+    });
+}
+
+void SessionWorld::crashMember(unsigned member)
+{
+    group_.crash(memberId(member));
+    for (unsigned vm = 0; vm < vms_.size(); ++vm) {
+        std::vector<ConnectionId> lost;
+        for (const auto &[connection, other] : vms_[vm].connections_) {
+            if (other == member) {
+                lost.push_back(connection);
+            }
+        }
+        for (const ConnectionId connection : lost) {
+            vms_[vm].connections_.erase(connection);
+            schedule(now_ + config_.networkDelay_, [this, vm, connection, incarnation = vms_[vm].incarnation_] {
+                give(vm, incarnation, ConnectionLost{connection, ConnectionEnd::Closed});
+            });
+        }
+    }
+}
+
+void SessionWorld::restartMember(unsigned member)
+{
+    group_.restart(memberId(member));
+}
+
+void SessionWorld::memberLeaves(unsigned member)
+{
+    store_.members_[member].leaving_ = true;
+    ++store_.revision_;
+}
+
+void SessionWorld::callPromotion(unsigned vm, const CallPromotion &effect)
+{
+    const std::uint64_t incarnation = vms_[vm].incarnation_;
+    if (promotionsDown_) {
+        schedule(now_ + effect.timeout_, [this, vm, incarnation, effect] {
+            give(vm, incarnation, SessionEvent(PromotionAnswered{effect.group_, effect.member_, 0}));
+        });
+        return;
+    }
+    const std::string &holder = holders_.try_emplace(effect.generation_, vms_[vm].name_).first->second;
+    if (holder != vms_[vm].name_) {
+        violate(absl::StrCat("two VMs promote with generation ", effect.generation_));
+    }
+    if (effect.generation_ < highestGeneration_) {
+        violate(absl::StrCat("a promotion with generation ", effect.generation_, " after ", highestGeneration_));
+    }
+    highestGeneration_ = std::max(highestGeneration_, effect.generation_);
+    const bool running = group_.member(effect.member_).up_;
+    constexpr unsigned accepted = 200;
+    constexpr unsigned notRunning = 409;
+    schedule(now_ + 2 * config_.networkDelay_, [this, vm, incarnation, effect, running] {
+        give(vm, incarnation, SessionEvent(PromotionAnswered{effect.group_, effect.member_, running ? accepted : notRunning}));
+    });
+    note(absl::StrCat("promotion of ", effect.member_.value(), " asked by ", vm));
+    if (running) {
+        schedule(now_ + config_.promotionTime_, [this, effect] {
+            note(absl::StrCat(effect.member_.value(), " leads"));
+            promotions_ += group_.promote(effect.member_, now_) ? 1 : 0;
+        });
+    }
+}
+
+} // namespace Figward::Testing
--- /dev/null
+++ b/test/support/SessionWorldStore.cpp
@@ -0,0 +1,148 @@
+#include "support/SessionWorld.h"
+
+#include "Overloaded.h"
+#include "Reducer.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <algorithm>
+
+namespace Figward::Testing {
+
+namespace {
+
+constexpr Duration storeTime = std::chrono::milliseconds(4);
+
+} // namespace
+
+void SessionWorld::garbleEntry(const std::string &name, bool garbled)
+{
+    if (garbled) {
+        store_.garbled_.insert(name);
+    } else {
+        store_.garbled_.erase(name);
+    }
+    ++store_.revision_;
+}
+
+void SessionWorld::newConfiguration(const std::function<void(SessionConfiguration &)> &change)
+{
+    change(store_.configuration_);
+    store_.configuration_.version_ = ConfigVersion(store_.configuration_.version_.value() + 2);
+    store_.configurationRevision_ = ++store_.revision_;
+}
+
+void SessionWorld::freezeStaleReads(bool frozen)
+{
+    stale_ = frozen ? std::optional(store_) : std::nullopt;
+}
+
+void SessionWorld::callStore(unsigned vm, const StoreCall &call)
+{
+    const std::uint64_t incarnation = vms_[vm].incarnation_;
+    const bool lost = storeDown_ || storeCuts_.contains(vm);
+    const bool isWrite = std::holds_alternative<WriteClaim>(call.request_) || std::holds_alternative<RegisterVm>(call.request_);
+    if (const auto *watch = std::get_if<WatchConfiguration>(&call.request_)) {
+        // Answers as soon as there is a change, or at the end of the wait.
+        const auto poll = std::make_shared<std::function<void()>>();
+        const Time end = now_ + watch->wait_;
+        *poll = [this, vm, incarnation, call, since = watch->sinceRevision_, end, poll] {
+            const bool changed = store_.configurationRevision_ > since && !stale_ && !storeDown_ && !storeCuts_.contains(vm);
+            if (!changed && now_ < end && vms_[vm].incarnation_ == incarnation) {
+                schedule(now_ + std::chrono::milliseconds(5), *poll);
+                return;
+            }
+            StoreAnswered answer{call.id_, StoreResult::Done, ConfigurationRead{store_.revision_, std::nullopt}};
+            if (changed) {
+                answer.content_ = ConfigurationRead{store_.revision_, store_.configuration_};
+            }
+            give(vm, incarnation, SessionEvent(answer));
+            schedule(now_, [poll] { *poll = nullptr; });
+        };
+        schedule(now_ + storeTime, *poll);
+        return;
+    }
+    schedule(now_ + storeTime, [this, vm, incarnation, call, lost, isWrite] {
+        const bool cut = lost || storeDown_ || storeCuts_.contains(vm);
+        if (cut || (isWrite && storeLosesAnswers_)) {
+            if (!cut) {
+                execute(call);
+            }
+            schedule(now_ + call.timeout_, [this, vm, incarnation, call] {
+                give(vm, incarnation, SessionEvent(StoreAnswered{call.id_, StoreResult::Unknown, {}}));
+            });
+            return;
+        }
+        StoreAnswered answer = execute(call);
+        schedule(now_ + config_.networkDelay_, [this, vm, incarnation, answer = std::move(answer)] { give(vm, incarnation, SessionEvent(answer)); });
+    });
+}
+
+void SessionWorld::callMirror(unsigned vm, const StoreCall &call)
+{
+    const std::uint64_t incarnation = vms_[vm].incarnation_;
+    const unsigned peer = static_cast<unsigned>(std::stoul(call.peer_));
+    schedule(now_ + 2 * config_.networkDelay_, [this, vm, incarnation, peer, call] {
+        const bool reached = !vmCuts_.contains(std::minmax(vm, peer)) && vms_[peer].state_ && !vms_[peer].frozen_;
+        const bool asksConfiguration = std::holds_alternative<ReadConfiguration>(call.request_);
+        if (!reached || !asksConfiguration || !vms_[peer].state_->sessions_->configuration_) {
+            give(vm, incarnation, SessionEvent(StoreAnswered{call.id_, StoreResult::Unknown, {}}));
+            return;
+        }
+        give(vm, incarnation, SessionEvent(StoreAnswered{call.id_, StoreResult::Done, ConfigurationRead{1, vms_[peer].state_->sessions_->configuration_}}));
+    });
+}
+
+StoreAnswered SessionWorld::execute(const StoreCall &call)
+{
+    Store &store = stale_ && call.freshness_ == Freshness::MayBeStale ? *stale_ : store_;
+    StoreAnswered answer{call.id_, StoreResult::Done, {}};
+    const Overloaded handle{
+        [&](const ReadConfiguration &) {
+            answer.content_ = ConfigurationRead{store.configurationRevision_, store.configuration_};
+        },
+        [&](const WatchConfiguration &) {},
+        [&](const ReadMembers &) {
+            answer.content_ = MemberDirectory{++store.revision_, store.members_, store.garbled_};
+        },
+        [&](const ReadVms &) {
+            std::vector<EntryVm> vms;
+            for (const auto &[name, vm] : store.vms_) {
+                vms.push_back(vm);
+            }
+            answer.content_ = std::move(vms);
+        },
+        [&](const ReadClaims &) {
+            std::vector<LeaderClaim> claims;
+            for (const auto &[group, claim] : store.claims_) {
+                claims.push_back(claim);
+            }
+            answer.content_ = std::move(claims);
+        },
+        [&](const RegisterVm &body) { store.vms_[body.vm_.name_] = body.vm_; },
+        [&](const RemoveVm &body) { store.vms_.erase(body.name_); },
+        [&](const WriteClaim &body) { answer = executeWrite(call.id_, body); },
+    };
+    std::visit(handle, call.request_);
+    return answer;
+}
+
+StoreAnswered SessionWorld::executeWrite(CallId id, const WriteClaim &write)
+{
+    const auto stands = store_.claims_.find(write.claim_.group_);
+    const std::uint64_t revision = stands == store_.claims_.end() ? 0 : stands->second.revision_;
+    if (revision != write.claim_.revision_) {
+        std::vector<LeaderClaim> present;
+        if (stands != store_.claims_.end()) {
+            present.push_back(stands->second);
+        }
+        return StoreAnswered{id, present.empty() ? StoreResult::NotFound : StoreResult::Conflict, present};
+    }
+    LeaderClaim claim = write.claim_;
+    claim.revision_ = ++store_.revision_;
+    store_.claims_[claim.group_] = claim;
+    return StoreAnswered{id, StoreResult::Done, std::vector<LeaderClaim>{claim}};
+}
+
+} // namespace Figward::Testing
