--- /dev/null
+++ b/test/fuzz/LineSafeguardsMatter.cpp
@@ -0,0 +1,153 @@
+// Each test takes one safeguard of database sessions away, by altering a proxy's state from outside, and the trials must find a broken promise.
+// A safeguard whose absence went unnoticed would be one that no trial protects.
+#include "fuzz/LineTrial.h"
+
+#include <gmock/gmock.h>
+#include <iostream>
+
+using namespace Figward;
+using namespace Figward::Testing;
+using namespace testing;
+
+namespace {
+
+constexpr std::uint64_t seedsTried = 400;
+constexpr Duration longAgo = std::chrono::seconds(10);
+
+/** Plays trials from seed \p first on until a promise is broken; prints the first one. A first seed near one that was found before saves time. */
+void expectFinding(std::uint64_t first, const SessionWorld::BeforeEvent &beforeEvent, bool resets = false)
+{
+    for (std::uint64_t seed = first; seed < first + seedsTried; ++seed) {
+        const std::vector<std::string> violations = playLineTrial(seed, {beforeEvent, resets});
+        if (!violations.empty()) {
+            std::cout << "seed " << seed << ": " << violations.front() << "\n";
+            return;
+        }
+    }
+    ADD_FAILURE() << "not noticed in " << seedsTried << " seeds";
+}
+
+void forGroups(ProxyState &state, const std::function<void(SessionGroup &)> &action)
+{
+    for (auto &[id, group] : state.sessions_->groups_) {
+        action(group);
+    }
+}
+
+void forSessions(ProxyState &state, const std::function<void(ClientSession &)> &action)
+{
+    for (auto &[key, session] : state.sessions_->sessions_) {
+        action(session);
+    }
+}
+
+} // namespace
+
+// A VM that is cut off or frozen goes on to use the primary that it knew: it would acknowledge writes there that its successor lacks.
+TEST(LineSafeguards, authorityEnds)
+{
+    expectFinding(40, [](ProxyState &state, EventBody & /*event*/, Time now) {
+        forGroups(state, [&](SessionGroup &group) {
+            if (group.authority_.primary_ != MemberId()) {
+                group.authority_.validUntil_ = now + longAgo;
+            }
+        });
+    });
+}
+
+// The leader promotes without waiting until the other VMs have given up the old primary.
+TEST(LineSafeguards, theLeaderWaitsForTheOtherVms)
+{
+    expectFinding(28, [](ProxyState &state, EventBody & /*event*/, Time now) {
+        forGroups(state, [&](SessionGroup &group) {
+            if (group.leader_ && group.leader_->step_ == ReplacementStep::Revoking) {
+                group.leader_->revokeStored_ = now - longAgo;
+            }
+        });
+    });
+}
+
+// A promotion that was called for and not answered is forgotten: it comes through late, beside another one.
+TEST(LineSafeguards, aPromotionUnderWayIsRemembered)
+{
+    expectFinding(292, [](ProxyState &state, EventBody & /*event*/, Time /*now*/) {
+        forGroups(state, [](SessionGroup &group) {
+            if (group.leader_) {
+                group.leader_->promotionIssued_ = false;
+            }
+        });
+    });
+}
+
+// Reads at replicas do not say which position they need.
+TEST(LineSafeguards, readsNameAPosition)
+{
+    expectFinding(1, [](ProxyState &state, EventBody & /*event*/, Time /*now*/) {
+        forGroups(state, [](SessionGroup &group) {
+            for (PositionSample &sample : group.samples_.samples_) {
+                sample.position_.position_ = Position(0);
+            }
+        });
+    });
+}
+
+// A session's reads name what the route's age asks for, and not what the session itself has written.
+TEST(LineSafeguards, sessionsRememberTheirCommits)
+{
+    expectFinding(
+        1, [](ProxyState &state, EventBody & /*event*/, Time /*now*/) { forSessions(state, [](ClientSession &session) { session.lastCommit_.reset(); }); });
+}
+
+// A write whose connection was lost is taken for one that was never sent, and runs again.
+TEST(LineSafeguards, whatWasSentIsNotSentAgain)
+{
+    const SessionWorld::BeforeEvent forgetSending = [](ProxyState &state, EventBody &event, Time /*now*/) {
+        if (std::holds_alternative<ConnectionLost>(event)) {
+            forSessions(state, [](ClientSession &session) {
+                if (session.run_) {
+                    session.run_->sent_ = false;
+                }
+            });
+        }
+    };
+    const bool resets = true;
+    expectFinding(76, forgetSending, resets);
+}
+
+// A VM is frozen after the primary ran a write and before its answer was taken in. The replicas had not received the write, the primary crashed, and another
+// leads without it. When the VM wakes, the answer is there to be taken: without the check against the VM's authority the client is told that the write is kept.
+TEST(LineSafeguards, answersAreHeldAgainstTheAuthority)
+{
+    const auto violationsWith = [](const SessionWorld::BeforeEvent &beforeEvent) {
+        SessionWorld world;
+        world.setBeforeEvent(beforeEvent);
+        world.run(std::chrono::seconds(3));
+        const std::size_t client = world.open(3, "ledger");
+        EXPECT_EQ(world.ask(client, StatementKind::Write, "WRITE a 1").code_, ReplyCode::None);
+        for (const unsigned replica : {1U, 2U}) {
+            world.group().member(SessionWorld::memberId(replica)).lag_ = std::chrono::seconds(20);
+        }
+        world.send(client, StatementKind::Write, "WRITE a 2");
+        world.run(std::chrono::milliseconds(8));
+        world.freezeVm(3, true);
+        world.run(std::chrono::milliseconds(20));
+        world.crashMember(0);
+        world.run(std::chrono::seconds(5));
+        world.freezeVm(3, false);
+        world.run(std::chrono::seconds(1));
+        EXPECT_EQ(world.promotions(), 1U);
+        return world.violations();
+    };
+    EXPECT_THAT(violationsWith(nullptr), IsEmpty());
+    EXPECT_THAT(violationsWith([](ProxyState &state, EventBody &event, Time /*now*/) {
+                    const auto *session = std::get_if<SessionEvent>(&event);
+                    if (session != nullptr && std::holds_alternative<MemberReplyArrived>(*session)) {
+                        forSessions(state, [](ClientSession &open) {
+                            if (open.run_) {
+                                open.run_->usesPrimary_ = false;
+                            }
+                        });
+                    }
+                }),
+                Contains(HasSubstr("acknowledged by the replaced primary")));
+}
--- a/test/support/SessionWorld.cpp
+++ b/test/support/SessionWorld.cpp
@@ -91,6 +91,11 @@
     }
 }
 
+void SessionWorld::setBeforeEvent(BeforeEvent beforeEvent)
+{
+    beforeEvent_ = std::move(beforeEvent);
+}
+
 void SessionWorld::schedule(Time at, std::function<void()> step)
 {
     queue_.push(Scheduled{std::max(at, now_), order_++, std::move(step)});
@@ -179,6 +184,9 @@
         place.held_.push_back(std::move(body));
         return;
     }
+    if (beforeEvent_) {
+        beforeEvent_(*place.state_, body, now_);
+    }
     const Effects effects = reduce(*place.state_, Event{now_, std::move(body)});
     for (const Effect &effect : effects) {
         perform(vm, effect);
--- a/test/support/SessionWorld.h
+++ b/test/support/SessionWorld.h
@@ -62,6 +62,10 @@
 public:
     explicit SessionWorld(const SessionWorldConfig &config = {});
 
+    /** Called before a VM takes an event in; may alter its state. */
+    using BeforeEvent = std::function<void(ProxyState &state, EventBody &event, Time now)>;
+    void setBeforeEvent(BeforeEvent beforeEvent);
+
     /** Lets time pass. */
     void run(Duration duration);
     /** Runs \p step at \p delay from now. */
@@ -95,6 +99,8 @@
     void freezeVm(unsigned vm, bool frozen);
     void drainVm(unsigned vm);
     void crashMember(unsigned member);
+    /** The connections of all VMs to the member are reset; it goes on, with what it was running. */
+    void resetConnections(unsigned member);
     void restartMember(unsigned member);
     void memberLeaves(unsigned member);
     /** Another writer leaves an entry that cannot be understood, or takes it away. */
@@ -228,6 +234,7 @@
     std::map<unsigned, Time> lastRuns_;
     std::vector<std::string> story_;
     std::string logText_;
+    BeforeEvent beforeEvent_;
 };
 
 } // namespace Figward::Testing
--- a/test/support/SessionWorldMembers.cpp
+++ b/test/support/SessionWorldMembers.cpp
@@ -86,6 +86,11 @@
 void SessionWorld::crashMember(unsigned member)
 {
     group_.crash(memberId(member));
+    resetConnections(member);
+}
+
+void SessionWorld::resetConnections(unsigned member)
+{
     for (unsigned vm = 0; vm < vms_.size(); ++vm) {
         std::vector<ConnectionId> lost;
         for (const auto &[connection, other] : vms_[vm].connections_) {
