A VM that alone has lost the primaries, or is in the smaller part of a split, refuses at once and says that it is not ready

Now: 1.5 s after the primary was last of use, if other VMs hear it, or at once in the smaller part of a split, such statements are refused, and clients are sent elsewhere.

--- a/src/SessionDrain.cpp
+++ b/src/SessionDrain.cpp
@@ -3,6 +3,7 @@
 #include "GroupLeadership.h"
 #include "ProxyState.h"
 #include "SessionStatements.h"
+#include "ZoneIsolation.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -55,7 +56,7 @@
 void reviewSessionDrain(ProxyState &state, Time now, Effects &out)
 {
     SessionServiceState &sessions = *state.sessions_;
-    if (sessions.isolatedSince_ && now - *sessions.isolatedSince_ > untilUnlisted) {
+    if (const std::optional<Time> since = cutOffSince(sessions); since && now - *since > untilUnlisted) {
         closeRestingSessions(sessions, now, out);
     }
     if (!sessions.drainSince_ || sessions.exiting_) {
--- a/src/SessionService.cpp
+++ b/src/SessionService.cpp
@@ -27,21 +27,29 @@
 constexpr Duration probeAfter = std::chrono::milliseconds(300);
 constexpr Duration probeInterval = std::chrono::milliseconds(250);
 
-/** Notes when the zone is cut off, and when it no longer is. */
-void reviewIsolation(SessionServiceState &sessions, Time now, Effects &out)
+/** Notes in \p since when \p holds began, and when it ended. */
+void noteCutOff(std::optional<Time> &since, bool holds, std::string_view why, const ZoneId &zone, Time now, Effects &out)
 {
-    const bool isolated = isZoneIsolated(sessions, now);
-    if (isolated == sessions.isolatedSince_.has_value()) {
+    if (holds == since.has_value()) {
         return;
     }
-    sessions.isolatedSince_ = isolated ? std::optional(now) : std::nullopt;
-    out.emplace_back(WriteLog{isolated ? LogNumber::ZoneIsolated : LogNumber::ZoneRejoined, {{"zone", sessions.identity_.vm_.zone_.value()}}});
+    since = holds ? std::optional(now) : std::nullopt;
+    out.emplace_back(WriteLog{holds ? LogNumber::ZoneIsolated : LogNumber::ZoneRejoined, {{"zone", zone.value()}, {"reason", std::string(why)}}});
+}
+
+/** Notes when the VM is cut off from the rest, and when it no longer is. */
+void reviewCutOff(SessionServiceState &sessions, Time now, Effects &out)
+{
+    const ZoneId &zone = sessions.identity_.vm_.zone_;
+    noteCutOff(sessions.isolatedSince_, isZoneIsolated(sessions, now), "the zone hears none of the others", zone, now, out);
+    noteCutOff(sessions.servedElsewhereSince_, areAllServedElsewhere(sessions, now), "other VMs hear the primaries, this one does not", zone, now, out);
+    noteCutOff(sessions.minoritySince_, isLeftInMinority(sessions, now), "less than half of the VMs and no primary are heard", zone, now, out);
 }
 
 void reviewReady(ProxyState &state, Effects &out)
 {
     SessionServiceState &sessions = *state.sessions_;
-    const bool ready = sessions.configuration_ && sessions.directoryKnown_ && !sessions.drainSince_ && !sessions.isolatedSince_;
+    const bool ready = sessions.configuration_ && sessions.directoryKnown_ && !sessions.drainSince_ && !cutOffSince(sessions);
     if (sessions.ready_ != ready) {
         sessions.ready_ = ready;
         out.emplace_back(SessionEffect(SetReady{ready}));
@@ -71,6 +79,17 @@
     }
 }
 
+/** Notes since when the primary cannot be used; one of a new epoch has its time to be reached. */
+void notePrimaryLost(const SessionServiceState &sessions, SessionGroup &group, Time now)
+{
+    if (reachesPrimary(sessions, group, now)) {
+        group.primaryLostAt_.reset();
+    } else if (!group.primaryLostAt_ || group.primaryLostEpoch_ != group.authority_.epoch_) {
+        group.primaryLostAt_ = now;
+        group.primaryLostEpoch_ = group.authority_.epoch_;
+    }
+}
+
 void reviewGroup(ProxyState &state, SessionGroup &group, Time now, Effects &out)
 {
     if (!state.sessions_->configuration_) {
@@ -81,6 +100,7 @@
     if (shouldAskElsewhere(*state.sessions_, now)) {
         probeElsewhere(state, group, now, out);
     }
+    notePrimaryLost(*state.sessions_, group, now);
     const bool held = holdsAuthority(group.authority_, now);
     if (held != group.heldAuthority_) {
         group.heldAuthority_ = held;
@@ -102,7 +122,7 @@
     reviewMemberConnections(state, now, out);
     reviewSessions(state, now, out);
     reviewSessionDrain(state, now, out);
-    reviewIsolation(*state.sessions_, now, out);
+    reviewCutOff(*state.sessions_, now, out);
     reviewReady(state, out);
     state.timers_.arm(now + reviewInterval, TimerTag{TimerTopic::SessionReview, {}, 0});
 }
--- a/src/SessionState.h
+++ b/src/SessionState.h
@@ -150,6 +150,8 @@
     ServiceId id_;
     std::set<MemberId> members_;
     PrimaryAuthority authority_;
+    std::optional<Time> primaryLostAt_; ///< Since then this VM cannot use the primary of the present epoch, or does not reach it.
+    std::uint64_t primaryLostEpoch_ = 0;
     PositionSamples samples_;
     std::optional<LeaderClaim> seenClaim_; ///< As last read from the store.
     Time seenClaimChanged_; ///< When it was first seen as it is.
@@ -239,6 +241,8 @@
     Time startedAt_;
     std::optional<bool> ready_;
     std::optional<Time> isolatedSince_; ///< The zone is cut off from the larger part.
+    std::optional<Time> minoritySince_; ///< This VM is in the smaller part of a split, and reaches no primary.
+    std::optional<Time> servedElsewhereSince_; ///< Other VMs reach the primaries, this one does not.
     std::optional<Time> drainSince_;
     bool exiting_ = false;
 };
--- a/src/StatementDispatch.cpp
+++ b/src/StatementDispatch.cpp
@@ -8,6 +8,7 @@
 #include "StatementOutcome.h"
 #include "StatementPlacement.h"
 #include "StatementSteps.h"
+#include "ZoneIsolation.h"
 
 #include <algorithm>
 
@@ -97,13 +98,15 @@
 }
 
 /**
- * A VM whose zone is cut off, and that knows no member which may run the statement, will know none before the cut is over: that takes many seconds as a
- * rule. A statement held until its timeout is then refused when its client has no time left to ask elsewhere; in a cut of 20 s some 2,000 were held
- * for 980 ms each, at 450 statements a second.
+ * A VM that is cut off, or from which other VMs alone reach the primary, and that reaches no member that may run the statement, will reach none before the cut
+ * is over: that takes many seconds as a rule. A statement held until its timeout is then refused when its client has no time left to ask elsewhere; in a
+ * cut of 20 s some 2,000 were held for 980 ms each, at 450 statements a second.
  */
-bool isHopeless(const ProxyState &state, const std::vector<PlacementOption> &options)
+bool isHopeless(const ProxyState &state, const SessionGroup &group, const std::vector<PlacementOption> &options, Time now)
 {
-    return options.empty() && state.sessions_->isolatedSince_.has_value();
+    const SessionServiceState &sessions = *state.sessions_;
+    const bool none = std::ranges::none_of(options, [&](const PlacementOption &option) { return !option.primary_ || reachesPrimary(sessions, group, now); });
+    return none && (cutOffSince(sessions) || isServedElsewhere(sessions, group, now));
 }
 
 void placeOne(ProxyState &state, SessionGroup &group, ClientSession &session, Time now, Effects &out)
@@ -112,8 +115,8 @@
         return;
     }
     const std::vector<PlacementOption> options = placementOptions(state, session, group, now);
-    if (isHopeless(state, options)) {
-        refuse(state, session, ReplyCode::Retry, comeBack(otherZonesAfter, "this zone is cut off from the members that may run it"), now, out);
+    if (isHopeless(state, group, options, now)) {
+        refuse(state, session, ReplyCode::Retry, comeBack(otherZonesAfter, "this VM is cut off from the members that may run it"), now, out);
         return;
     }
     const Placement placement = placeStatement(options);
@@ -142,7 +145,8 @@
         return "no member of its group is known";
     }
     if (!placementOptions(state, session, *group, now).empty()) {
-        return session.run_->tries_ == 0 ? "all connections to the members that may run it are in use" : "the members that may run it refused it or were silent";
+        return session.run_->tries_ == 0 ? "all connections to the members that may run it are in use"
+                                         : "the members that may run it refused it or were silent";
     }
     return needsPrimary(session, *session.run_) ? "no primary may be used at present" : "no member is known to be fresh enough";
 }
--- a/src/ZoneIsolation.cpp
+++ b/src/ZoneIsolation.cpp
@@ -1,5 +1,7 @@
 #include "ZoneIsolation.h"
 
+#include "SessionHeartbeats.h"
+
 #include <algorithm>
 #include <set>
 
@@ -12,6 +14,9 @@
 /** VMs that were silent for longer are gone for other reasons and say nothing about a cut. */
 constexpr Duration remembered = std::chrono::seconds(12);
 
+/** A primary that is lost, or that leaves, has been replaced by then as a rule, and this VM uses its successor. */
+constexpr Duration replacedBy = std::chrono::milliseconds(1500);
+
 /** Whether a member of another zone answered lately: then the zone is not cut off, though VMs elsewhere may be down. */
 bool hearsMembersElsewhere(const SessionServiceState &sessions, Time now)
 {
@@ -61,4 +66,55 @@
     return givesWay && now - sessions.startedAt_ > lostAfter && !hearsMembersElsewhere(sessions, now);
 }
 
+bool reachesPrimary(const SessionServiceState &sessions, const SessionGroup &group, Time now)
+{
+    const auto primary = sessions.members_.find(group.authority_.primary_);
+    const bool heard = primary != sessions.members_.end() && primary->second.heard_ && now - *primary->second.heard_ < lostAfter;
+    return heard && holdsAuthority(group.authority_, now);
+}
+
+bool isLeftInMinority(const SessionServiceState &sessions, Time now)
+{
+    unsigned known = 1;
+    unsigned heard = 1;
+    for (const auto &[name, peer] : sessions.peers_) {
+        if (isCounted(peer, now)) {
+            ++known;
+            heard += peer.heard_ && now - *peer.heard_ < lostAfter ? 1 : 0;
+        }
+    }
+    const bool minority = heard * 2 < known;
+    return minority && std::ranges::none_of(sessions.groups_, [&](const auto &entry) { return reachesPrimary(sessions, entry.second, now); });
+}
+
+bool isServedElsewhere(const SessionServiceState &sessions, const SessionGroup &group, Time now)
+{
+    if (!group.primaryLostAt_ || now - *group.primaryLostAt_ < replacedBy) {
+        return false;
+    }
+    return std::ranges::any_of(sessions.peers_, [&](const auto &entry) {
+        const PeerVm &peer = entry.second;
+        const auto beat = peer.groups_.find(group.id_);
+        const bool speaks = isFresh(peer, now) && beat != peer.groups_.end() && beat->second.epoch_ >= group.authority_.epoch_;
+        return speaks && beat->second.primaryHeard_ && *beat->second.primaryHeard_ + (now - peer.itsClockAt_) < lostAfter;
+    });
+}
+
+bool areAllServedElsewhere(const SessionServiceState &sessions, Time now)
+{
+    const auto served = [&](const auto &entry) { return entry.second.members_.empty() || isServedElsewhere(sessions, entry.second, now); };
+    const auto hasMembers = [](const auto &entry) { return !entry.second.members_.empty(); };
+    return std::ranges::any_of(sessions.groups_, hasMembers) && std::ranges::all_of(sessions.groups_, served);
+}
+
+std::optional<Time> cutOffSince(const SessionServiceState &sessions)
+{
+    for (const std::optional<Time> &since : {sessions.isolatedSince_, sessions.minoritySince_}) {
+        if (since) {
+            return since;
+        }
+    }
+    return sessions.servedElsewhereSince_;
+}
+
 } // namespace Figward
--- /dev/null
+++ b/test/error/SessionVmsAreSplit.cpp
@@ -0,0 +1,133 @@
+#include "support/SessionWorld.h"
+
+#include <gmock/gmock.h>
+
+using namespace Figward;
+using namespace Figward::Testing;
+using namespace testing;
+
+namespace {
+
+constexpr Duration startTime = std::chrono::seconds(3);
+constexpr unsigned vms = 7;
+/** VMs of several zones that lose the others, the store and the primary. */
+const std::set<unsigned> smaller{1, 3, 5};
+
+/** Parts the smaller half, with one replica, from the rest. */
+void split(SessionWorld &world, bool cut)
+{
+    constexpr unsigned replica = 2;
+    for (const unsigned inside : smaller) {
+        world.cutVmFromStore(inside, cut);
+        world.cutVmFromMember(inside, 0, cut);
+        world.cutVmFromMember(inside, 1, cut);
+        for (unsigned outside = 0; outside < vms; ++outside) {
+            if (!smaller.contains(outside)) {
+                world.cutVms(inside, outside, cut);
+                world.cutVmFromMember(outside, replica, cut);
+            }
+        }
+    }
+    world.group().member(SessionWorld::memberId(replica)).deaf_ = cut;
+}
+
+SessionWorldConfig config()
+{
+    SessionWorldConfig config;
+    config.vms_ = vms;
+    return config;
+}
+
+} // namespace
+
+// The network splits: three VMs of seven, in several zones, lose the other four, the store and the primary. What needs the primary cannot be served there for
+// as long as the split lasts. Its clients are told so at once, and have time to ask a VM of the larger part, to which new clients are sent by then.
+TEST(SessionVmsAreSplit, theSmallerPartSendsItsClientsToTheLarger)
+{
+    SessionWorld world(config());
+    world.run(startTime);
+    const std::size_t inside = world.open(1, "ledger");
+    const std::size_t resting = world.open(3, "dispatch");
+    ASSERT_EQ(world.ask(inside, StatementKind::Write, "WRITE a 1").code_, ReplyCode::None);
+    split(world, true);
+    world.run(std::chrono::milliseconds(2500));
+    for (unsigned vm = 0; vm < vms; ++vm) {
+        EXPECT_EQ(world.ready(vm), !smaller.contains(vm)) << vm;
+    }
+    const Time asked = world.now();
+    const SessionReply refused = world.ask(inside, StatementKind::Write, "WRITE a 2");
+    EXPECT_EQ(refused.code_, ReplyCode::Retry);
+    EXPECT_THAT(refused.text_, HasSubstr("come back in 2000 ms"));
+    EXPECT_LT(toMillis(world.now() - asked), 100);
+    const std::size_t outside = world.open(0, "ledger");
+    EXPECT_EQ(world.ask(outside, StatementKind::Write, "WRITE a 3").code_, ReplyCode::None);
+    world.run(std::chrono::seconds(3));
+    EXPECT_TRUE(world.client(resting).closed_);
+    EXPECT_EQ(world.promotions(), 0U);
+    split(world, false);
+    world.run(std::chrono::seconds(2));
+    for (unsigned vm = 0; vm < vms; ++vm) {
+        EXPECT_TRUE(world.ready(vm)) << vm;
+    }
+    const std::size_t after = world.open(1, "ledger");
+    EXPECT_EQ(world.ask(after, StatementKind::Write, "WRITE a 4").code_, ReplyCode::None);
+    world.checkLogs();
+    EXPECT_THAT(world.violations(), IsEmpty());
+}
+
+// Four VMs of seven lose power at once. The three that are left hear less than half of the VMs they knew, and still reach the store and the primary:
+// they stay ready and serve, though one of those that are gone was the leader.
+TEST(SessionVmsAreSplit, thoseThatAreLeftOfManyServe)
+{
+    SessionWorld world(config());
+    world.run(startTime);
+    ASSERT_TRUE(world.leader().has_value());
+    std::set<unsigned> killed{*world.leader()};
+    for (unsigned vm = 0; killed.size() < 4; ++vm) {
+        killed.insert(vm);
+    }
+    for (const unsigned vm : killed) {
+        world.killVm(vm);
+    }
+    for (int round = 0; round < 60; ++round) {
+        world.run(std::chrono::milliseconds(100));
+        for (unsigned vm = 0; vm < vms; ++vm) {
+            EXPECT_TRUE(killed.contains(vm) || world.ready(vm)) << vm << " in round " << round;
+        }
+    }
+    for (unsigned vm = 0; vm < vms; ++vm) {
+        if (!killed.contains(vm)) {
+            const std::size_t client = world.open(vm, "ledger");
+            EXPECT_EQ(world.ask(client, StatementKind::Write, "WRITE a 1").code_, ReplyCode::None) << vm;
+        }
+    }
+    EXPECT_THAT(world.violations(), IsEmpty());
+}
+
+// One VM loses its way to the primary, which all others reach; it hears the leader and keeps its authority. What it sent there is not answered, and nothing
+// that needs the primary can be served by it. A replacement would have come within 1.5 s; after that it sends its clients to the others, at once.
+TEST(SessionVmsAreSplit, aVmThatAloneLostThePrimarySendsItsClientsToTheOthers)
+{
+    SessionWorld world(config());
+    world.run(startTime);
+    const std::size_t client = world.open(1, "ledger");
+    ASSERT_EQ(world.ask(client, StatementKind::Write, "WRITE a 1").code_, ReplyCode::None);
+    world.cutVmFromMember(1, 0, true);
+    const std::string early = world.send(client, StatementKind::Write, "WRITE a 2");
+    world.run(std::chrono::milliseconds(3500));
+    EXPECT_EQ(world.answerTo(client, early)->code_, ReplyCode::InDoubt) << "it was sent, and the primary may have run it";
+    EXPECT_FALSE(world.ready(1));
+    EXPECT_TRUE(world.ready(0));
+    const Time asked = world.now();
+    const SessionReply refused = world.ask(client, StatementKind::Write, "WRITE a 3");
+    EXPECT_EQ(refused.code_, ReplyCode::Retry);
+    EXPECT_LT(toMillis(world.now() - asked), 100);
+    EXPECT_EQ(world.promotions(), 0U);
+    const std::size_t outside = world.open(0, "ledger");
+    EXPECT_EQ(world.ask(outside, StatementKind::Write, "WRITE a 4").code_, ReplyCode::None);
+    world.cutVmFromMember(1, 0, false);
+    world.run(std::chrono::seconds(2));
+    EXPECT_TRUE(world.ready(1));
+    world.checkLogs();
+    EXPECT_THAT(world.violations(), IsEmpty());
+}
