A primary that refuses connections as full is not a lost one

VMs that heard nothing of the primary for 1.5 s, which others heard, took themselves for cut off: 216 statements were refused at once that had their turn some 0.2 s later, and a VM said that it was not ready. A refusal shows that the member runs and is reached. The test failed before: the VM was not ready and refused.

--- a/src/MemberConnections.cpp
+++ b/src/MemberConnections.cpp
@@ -236,6 +236,9 @@
     MemberState *member = findMember(state, connection.member_);
     if (member != nullptr && connection.use_ == MemberConnectionUse::Opening) {
         noteOpenFailure(*member, lost.end_, now);
+        if (lost.end_ == ConnectionEnd::Refused) {
+            member->refusedAt_ = now;
+        }
         out.emplace_back(WriteLog{LogNumber::UpstreamConnectFailed,
                                   {{"member", connection.member_.value()},
                                    {"reason", lost.end_ == ConnectionEnd::Refused ? "refused" : "unreachable"},
--- a/src/SessionState.h
+++ b/src/SessionState.h
@@ -107,6 +107,7 @@
     LogPoint position_; ///< Highest that it has shown.
     Time laggedAt_; ///< When it last refused a read as lagging.
     std::optional<LogPoint> laggedBehind_;
+    std::optional<Time> refusedAt_; ///< When it last refused a connection as full: it runs, and this VM reaches it.
     Time openAfter_; ///< No new connection before.
     unsigned openFailures_ = 0; ///< In a row.
     bool refusedConnections_ = false; ///< Its process is gone: connections are refused.
--- a/src/ZoneIsolation.cpp
+++ b/src/ZoneIsolation.cpp
@@ -69,8 +69,11 @@
 bool reachesPrimary(const SessionServiceState &sessions, const SessionGroup &group, Time now)
 {
     const auto primary = sessions.members_.find(group.authority_.primary_);
-    const bool heard = primary != sessions.members_.end() && primary->second.heard_ && now - *primary->second.heard_ < lostAfter;
-    return heard && holdsAuthority(group.authority_, now);
+    if (primary == sessions.members_.end() || !holdsAuthority(group.authority_, now)) {
+        return false;
+    }
+    const MemberState &member = primary->second;
+    return (member.heard_ && now - *member.heard_ < lostAfter) || (member.refusedAt_ && now - *member.refusedAt_ < lostAfter);
 }
 
 bool isLeftInMinority(const SessionServiceState &sessions, Time now)
--- a/test/error/SessionVmsAreSplit.cpp
+++ b/test/error/SessionVmsAreSplit.cpp
@@ -131,3 +131,27 @@
     world.checkLogs();
     EXPECT_THAT(world.violations(), IsEmpty());
 }
+
+// Members hold the dead connections of VMs that lost power for some seconds, and refuse new ones as full. A VM that starts then hears nothing of the primary,
+// which others hear; but it reaches it, and has its turn soon. It stays ready, and its statements wait for a connection rather than being refused at once.
+TEST(SessionVmsAreSplit, aPrimaryThatIsFullIsNotLost)
+{
+    SessionWorld world(config());
+    world.run(startTime);
+    world.killVm(1);
+    world.memberIsFull(0, true);
+    world.run(std::chrono::milliseconds(500));
+    world.startVm(1);
+    world.run(std::chrono::milliseconds(2500));
+    EXPECT_TRUE(world.ready(1));
+    EXPECT_THAT(world.logged(LogNumber::ZoneIsolated), IsEmpty());
+    const std::size_t client = world.open(1, "ledger");
+    const std::string id = world.send(client, StatementKind::Write, "WRITE a 1");
+    world.run(std::chrono::milliseconds(500));
+    EXPECT_EQ(world.answerTo(client, id), nullptr) << "it waits";
+    world.memberIsFull(0, false);
+    world.run(std::chrono::milliseconds(400));
+    ASSERT_NE(world.answerTo(client, id), nullptr);
+    EXPECT_EQ(world.answerTo(client, id)->code_, ReplyCode::None);
+    EXPECT_THAT(world.violations(), IsEmpty());
+}
--- a/test/support/SessionWorld.h
+++ b/test/support/SessionWorld.h
@@ -103,6 +103,8 @@
     void resetConnections(unsigned member);
     void restartMember(unsigned member);
     void memberLeaves(unsigned member);
+    /** The member refuses new connections, as one does that has as many as it takes. */
+    void memberIsFull(unsigned member, bool full);
     /** Another writer leaves an entry that cannot be understood, or takes it away. */
     void garbleEntry(const std::string &name, bool garbled);
     void newConfiguration(const std::function<void(SessionConfiguration &)> &change);
@@ -219,6 +221,7 @@
     std::set<std::pair<unsigned, unsigned>> vmMemberCuts_;
     std::set<std::pair<unsigned, unsigned>> vmCuts_;
     std::set<unsigned> storeCuts_;
+    std::set<unsigned> fullMembers_;
     std::vector<WorldClient> clients_;
     std::uint64_t nextStatement_ = 1;
     std::map<std::string, ReadNeed> needs_; ///< By statement id.
--- a/test/support/SessionWorldMembers.cpp
+++ b/test/support/SessionWorldMembers.cpp
@@ -38,9 +38,10 @@
         if (vms_[vm].incarnation_ != incarnation || !vms_[vm].connections_.contains(effect.connection_)) {
             return;
         }
-        if (!group_.member(effect.member_).up_) {
+        const bool up = group_.member(effect.member_).up_;
+        if (!up || fullMembers_.contains(member)) {
             vms_[vm].connections_.erase(effect.connection_);
-            give(vm, incarnation, ConnectionLost{effect.connection_, ConnectionEnd::Unreachable});
+            give(vm, incarnation, ConnectionLost{effect.connection_, up ? ConnectionEnd::Refused : ConnectionEnd::Unreachable});
             return;
         }
         if (vmMemberCuts_.contains({vm, member})) {
@@ -107,6 +108,11 @@
     }
 }
 
+void SessionWorld::memberIsFull(unsigned member, bool full)
+{
+    full ? (void)fullMembers_.insert(member) : (void)fullMembers_.erase(member);
+}
+
 void SessionWorld::restartMember(unsigned member)
 {
     group_.restart(memberId(member));
