--- a/test/golden/FailedStatements.cpp
+++ b/test/golden/FailedStatements.cpp
@@ -1,6 +1,7 @@
 #include "TimeLine.h"
 #include "support/SessionWorld.h"
 
+#include <array>
 #include <fstream>
 #include <gmock/gmock.h>
 #include <sstream>
@@ -74,15 +75,15 @@
     config.workTime_ = std::chrono::milliseconds(500);
     SessionWorld world(config);
     world.run(startTime);
-    std::vector<std::size_t> clients;
-    std::vector<std::string> ids;
-    for (int number = 0; number < 6; ++number) {
-        clients.push_back(world.open(0, "ledger"));
+    std::array<std::size_t, 6> clients{};
+    for (std::size_t &client : clients) {
+        client = world.open(0, "ledger");
     }
+    std::string last;
     for (const std::size_t client : clients) {
-        ids.push_back(world.send(client, StatementKind::Write, "WRITE a 1"));
+        last = world.send(client, StatementKind::Write, "WRITE a 1");
     }
     world.run(std::chrono::milliseconds(1100));
-    ASSERT_EQ(world.answerTo(clients.back(), ids.back())->code_, ReplyCode::Retry);
-    EXPECT_THAT(operationsPage(), HasSubstr(follow(world, ids.back(), std::chrono::milliseconds(1100))));
+    ASSERT_EQ(world.answerTo(clients.back(), last)->code_, ReplyCode::Retry);
+    EXPECT_THAT(operationsPage(), HasSubstr(follow(world, last, std::chrono::milliseconds(1100))));
 }
