Why a VM is cut off is said in one place; who hears most VMs is counted once

ZoneIsolation had grown to three kinds of being cut off, each with a member of the state and a log line of its own; it is CutOff now, with one reason at a time, and events 305/306 are named after it. PrimaryReplacement and ZoneIsolation each counted the VMs heard, by different rules: one function now, and VMs that leave do not count, so that a rolling restart does not keep a leader from judging. A try that is given up no longer joins the waiting statements to leave them again. Also: age of the member list in the metrics; the line that tells of settings read again is written at the level that shows it; the parts of SessionWorld include what they use; wait() is joinWaiting(). No assertion changed but for the event's new name.

--- a/src/CommandServe.cpp
+++ b/src/CommandServe.cpp
@@ -6,6 +6,7 @@
 #include "SettingsReload.h"
 #include "Signals.h"
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <iostream>
@@ -99,11 +100,12 @@
     {
         std::ifstream in(file_, std::ios::binary);
         const SettingsReload reload = reloadSettings(settings_, std::string(std::istreambuf_iterator<char>(in), {}));
-        if (reload.logLevelChanged_) {
-            log_->setLevel(reload.settings_->logLevel_);
-            settings_.logLevel_ = reload.settings_->logLevel_;
-        }
+        // The line is written at the level that lets more through: a change to "warning" would hide its own line.
+        const LogLevel level = reload.logLevelChanged_ ? reload.settings_->logLevel_ : settings_.logLevel_;
+        log_->setLevel(std::min(level, settings_.logLevel_));
         log_->write(reload.number_, reload.fields_);
+        log_->setLevel(level);
+        settings_.logLevel_ = level;
     }
 
     std::string file_;
--- a/src/ZoneIsolation.cpp
+++ b/src/CutOff.cpp
@@ -1,4 +1,4 @@
-#include "ZoneIsolation.h"
+#include "CutOff.h"
 
 #include "SessionHeartbeats.h"
 
@@ -32,16 +32,10 @@
     return !peer.leaving_ && (peer.heard_ ? now - *peer.heard_ < remembered : peer.registered_);
 }
 
-} // namespace
-
-bool shouldAskElsewhere(const SessionServiceState &sessions, Time now)
-{
-    return std::ranges::none_of(sessions.peers_, [&](const auto &entry) {
-        const PeerVm &peer = entry.second;
-        return peer.vm_.zone_ != sessions.identity_.vm_.zone_ && peer.heard_ && now - *peer.heard_ < lostAfter / 2;
-    });
-}
-
+/**
+ * Whether this VM has lost all VMs and all members of other zones for a while, and those VMs are the larger part of all. The smaller part gives way: the larger
+ * one replaces the primaries that it has lost. A VM that starts during a cut counts the VMs that the store lists.
+ */
 bool isZoneIsolated(const SessionServiceState &sessions, Time now)
 {
     std::set<ZoneId> otherZones;
@@ -66,28 +60,55 @@
     return givesWay && now - sessions.startedAt_ > lostAfter && !hearsMembersElsewhere(sessions, now);
 }
 
-bool reachesPrimary(const SessionServiceState &sessions, const SessionGroup &group, Time now)
+/**
+ * Whether this VM has lost more than half of the VMs that it heard lately and can use no primary. Both together: many VMs may lose power at once, and what is
+ * left of them still serves; and a primary that nobody can use is replaced in about a second, where most VMs hear each other.
+ */
+bool isLeftInMinority(const SessionServiceState &sessions, Time now)
 {
-    const auto primary = sessions.members_.find(group.authority_.primary_);
-    if (primary == sessions.members_.end() || !holdsAuthority(group.authority_, now)) {
-        return false;
-    }
-    const MemberState &member = primary->second;
-    return (member.heard_ && now - *member.heard_ < lostAfter) || (member.refusedAt_ && now - *member.refusedAt_ < lostAfter);
+    const auto reached = [&](const auto &entry) { return reachesPrimary(sessions, entry.second, now); };
+    return !hearsMost(sessions, lostAfter, now) && std::ranges::none_of(sessions.groups_, reached);
 }
 
-bool isLeftInMinority(const SessionServiceState &sessions, Time now)
+/** Whether all groups are served elsewhere only. */
+bool areAllServedElsewhere(const SessionServiceState &sessions, Time now)
+{
+    const auto served = [&](const auto &entry) { return entry.second.members_.empty() || isServedElsewhere(sessions, entry.second, now); };
+    const auto hasMembers = [](const auto &entry) { return !entry.second.members_.empty(); };
+    return std::ranges::any_of(sessions.groups_, hasMembers) && std::ranges::all_of(sessions.groups_, served);
+}
+
+} // namespace
+
+bool shouldAskElsewhere(const SessionServiceState &sessions, Time now)
+{
+    return std::ranges::none_of(sessions.peers_, [&](const auto &entry) {
+        const PeerVm &peer = entry.second;
+        return peer.vm_.zone_ != sessions.identity_.vm_.zone_ && peer.heard_ && now - *peer.heard_ < lostAfter / 2;
+    });
+}
+
+bool hearsMost(const SessionServiceState &sessions, Duration within, Time now)
 {
     unsigned known = 1;
     unsigned heard = 1;
     for (const auto &[name, peer] : sessions.peers_) {
-        if (isCounted(peer, now)) {
+        if (peer.heard_ && now - *peer.heard_ < remembered && !peer.leaving_) {
             ++known;
-            heard += peer.heard_ && now - *peer.heard_ < lostAfter ? 1 : 0;
+            heard += now - *peer.heard_ < within ? 1 : 0;
         }
     }
-    const bool minority = heard * 2 < known;
-    return minority && std::ranges::none_of(sessions.groups_, [&](const auto &entry) { return reachesPrimary(sessions, entry.second, now); });
+    return heard * 2 >= known;
+}
+
+bool reachesPrimary(const SessionServiceState &sessions, const SessionGroup &group, Time now)
+{
+    const auto primary = sessions.members_.find(group.authority_.primary_);
+    if (primary == sessions.members_.end() || !holdsAuthority(group.authority_, now)) {
+        return false;
+    }
+    const MemberState &member = primary->second;
+    return (member.heard_ && now - *member.heard_ < lostAfter) || (member.refusedAt_ && now - *member.refusedAt_ < lostAfter);
 }
 
 bool isServedElsewhere(const SessionServiceState &sessions, const SessionGroup &group, Time now)
@@ -103,21 +124,33 @@
     });
 }
 
-bool areAllServedElsewhere(const SessionServiceState &sessions, Time now)
+std::optional<CutOffReason> findCutOff(const SessionServiceState &sessions, Time now)
 {
-    const auto served = [&](const auto &entry) { return entry.second.members_.empty() || isServedElsewhere(sessions, entry.second, now); };
-    const auto hasMembers = [](const auto &entry) { return !entry.second.members_.empty(); };
-    return std::ranges::any_of(sessions.groups_, hasMembers) && std::ranges::all_of(sessions.groups_, served);
+    if (isZoneIsolated(sessions, now)) {
+        return CutOffReason::Zone;
+    }
+    if (isLeftInMinority(sessions, now)) {
+        return CutOffReason::Minority;
+    }
+    return areAllServedElsewhere(sessions, now) ? std::optional(CutOffReason::Primaries) : std::nullopt;
 }
 
-std::optional<Time> cutOffSince(const SessionServiceState &sessions)
+std::string_view toString(CutOffReason reason)
 {
-    for (const std::optional<Time> &since : {sessions.isolatedSince_, sessions.minoritySince_}) {
-        if (since) {
-            return since;
-        }
+    switch (reason) {
+    case CutOffReason::Zone:
+        return "the zone hears none of the others";
+    case CutOffReason::Minority:
+        return "less than half of the VMs and no primary are heard";
+    case CutOffReason::Primaries:
+        return "other VMs hear the primaries, this one does not";
     }
-    return sessions.servedElsewhereSince_;
+    return "unknown";
+}
+
+bool isZoneCutOff(const SessionServiceState &sessions)
+{
+    return sessions.cutOff_ && sessions.cutOff_->reason_ == CutOffReason::Zone;
 }
 
 } // namespace Figward
--- a/src/ZoneIsolation.h
+++ b/src/CutOff.h
@@ -1,8 +1,8 @@
 /** \file
- * Defines when a VM counts as cut off from the rest: with its availability zone, or in the smaller part of a split.
+ * Defines when a VM counts as cut off from the rest: with its availability zone, in the smaller part of a split, or from the primaries alone.
  *
  * It answers the load pattern of clients that reach their VM while it reaches neither the primaries nor fresh replicas elsewhere: requests would
- * wait and fail one after the other. A VM that knows this says that it is not ready and lets idle sessions go, so that clients are sent to other zones.
+ * wait and fail one after the other. A VM that knows this says that it is not ready and lets idle sessions go, so that clients are sent to other VMs.
  */
 #pragma once
 
@@ -10,19 +10,19 @@
 
 namespace Figward {
 
-/**
- * Whether this VM has lost all VMs and all members of other zones for a while, and those VMs are the larger part of all. The smaller part gives way: the larger
- * one replaces the primaries that it has lost. A VM that starts during a cut counts the VMs that the store lists.
- */
-bool isZoneIsolated(const SessionServiceState &sessions, Time now);
+/** Why this VM counts as cut off at \p now, by all that it hears; nothing if it does not. The first reason that holds, in the order of CutOffReason. */
+std::optional<CutOffReason> findCutOff(const SessionServiceState &sessions, Time now);
 
-/**
- * Whether this VM has lost more than half of the VMs that it heard lately and can use no primary. Both together: many VMs may lose power at once, and what is
- * left of them still serves; and a primary that nobody can use is replaced in about a second, where most VMs hear each other.
- */
-bool isLeftInMinority(const SessionServiceState &sessions, Time now);
+/** Name of \p reason in logs, a clause that says what is heard. */
+std::string_view toString(CutOffReason reason);
 
-/** Whether the group's primary may be used and answered this VM lately. */
+/** Whether the zone of this VM is cut off from the larger part. */
+bool isZoneCutOff(const SessionServiceState &sessions);
+
+/** Whether this VM heard at least half of the VMs that it knows from the last while within \p within; those that leave do not count. */
+bool hearsMost(const SessionServiceState &sessions, Duration within, Time now);
+
+/** Whether the group's primary may be used and answered this VM lately, or refused a connection as full. */
 bool reachesPrimary(const SessionServiceState &sessions, const SessionGroup &group, Time now);
 
 /**
@@ -31,12 +31,6 @@
  */
 bool isServedElsewhere(const SessionServiceState &sessions, const SessionGroup &group, Time now);
 
-/** Whether all groups are served elsewhere only. */
-bool areAllServedElsewhere(const SessionServiceState &sessions, Time now);
-
-/** Since when the VM counts as cut off, if it does. */
-std::optional<Time> cutOffSince(const SessionServiceState &sessions);
-
 /** Whether no VM of another zone was heard for so long that members there should be asked whether the zone is cut off. */
 bool shouldAskElsewhere(const SessionServiceState &sessions, Time now);
 
--- a/src/GroupLeadership.cpp
+++ b/src/GroupLeadership.cpp
@@ -1,5 +1,6 @@
 #include "GroupLeadership.h"
 
+#include "CutOff.h"
 #include "MemberConnections.h"
 #include "PrimaryReplacement.h"
 #include "ProxyState.h"
@@ -80,7 +81,7 @@
 
 void considerClaim(ProxyState &state, SessionGroup &group, Time now, Effects &out)
 {
-    const bool canClaim = state.sessions_->schedule_.registered_ && !state.sessions_->drainSince_ && !state.sessions_->isolatedSince_ && !group.members_.empty()
+    const bool canClaim = state.sessions_->schedule_.registered_ && !state.sessions_->drainSince_ && !isZoneCutOff(*state.sessions_) && !group.members_.empty()
                           && !group.claimWrite_;
     const bool known = group.seenClaim_.has_value();
     const bool leaderSpeaks = now - group.leaderHeard_ < leaderSilence && group.leaderHeard_ != Time();
@@ -219,7 +220,7 @@
         considerClaim(state, group, now, out);
         return;
     }
-    if (state.sessions_->isolatedSince_ && state.sessions_->schedule_.reachable_) {
+    if (isZoneCutOff(*state.sessions_) && state.sessions_->schedule_.reachable_) {
         // The larger part of the VMs is on the other side of a cut and may have to replace the primary there.
         releaseLeadership(state, group, "the zone is cut off", now, out);
         return;
--- a/src/PrimaryReplacement.cpp
+++ b/src/PrimaryReplacement.cpp
@@ -1,5 +1,6 @@
 #include "PrimaryReplacement.h"
 
+#include "CutOff.h"
 #include "GroupLeadership.h"
 #include "MemberConnections.h"
 #include "ProxyState.h"
@@ -18,6 +19,12 @@
 constexpr Duration suspectAfter = std::chrono::milliseconds(900);
 /** The same while connections to it are refused: its process is gone, and only the network could still mislead. */
 constexpr Duration suspectRefusedAfter = std::chrono::milliseconds(350);
+/**
+ * A leader judges a primary while it heard most VMs within this time: one that is cut off would replace a primary that all but it still reach. Shorter than
+ * any silence by which a primary is judged: what cut this VM off silenced the others and the primary at the same moment, and a leader that judged by the
+ * primary's silence first went on to replace it when the cut healed; writes of all zones then stopped for some two seconds.
+ */
+constexpr Duration speaksNow = std::chrono::milliseconds(600);
 /** A new leader listens for this long before it judges. */
 constexpr Duration listenFirst = std::chrono::milliseconds(800);
 /** The survey goes on without members that did not report in this time. */
@@ -116,27 +123,6 @@
     return shortest;
 }
 
-/**
- * Whether this VM hears enough of the others to judge for all. A leader that is cut off would otherwise replace a primary that all but it still reach;
- * their writes would stop until they found its replacement.
- */
-bool hearsMost(const ProxyState &state, Time now)
-{
-    constexpr Duration counted = std::chrono::seconds(12);
-    // Shorter than any silence by which a primary is judged: what cut this VM off silenced the others and the primary at the same moment, and a leader that
-    // judged by the primary's silence first went on to replace it when the cut healed; writes of all zones then stopped for some two seconds.
-    constexpr Duration speaksNow = std::chrono::milliseconds(600);
-    unsigned known = 1;
-    unsigned fresh = 1;
-    for (const auto &[name, peer] : state.sessions_->peers_) {
-        if (peer.heard_ && now - *peer.heard_ < counted) {
-            ++known;
-            fresh += now - *peer.heard_ < speaksNow ? 1 : 0;
-        }
-    }
-    return fresh * 2 >= known;
-}
-
 /** A member holds commits of a later term than the primary's: another was promoted, by a call that came through late. */
 bool laterTermSeen(ProxyState &state, const SessionGroup &group)
 {
@@ -165,7 +151,7 @@
     const std::optional<Duration> heard = lastHeard(state, group, now);
     const Duration silence = heard.value_or(now - leader.leadSince_);
     const bool refused = primary != nullptr && primary->refusedConnections_;
-    const bool mayJudge = hearsMost(state, now) && !state.sessions_->isolatedSince_;
+    const bool mayJudge = hearsMost(*state.sessions_, speaksNow, now) && !isZoneCutOff(*state.sessions_);
     if (silence < (refused ? suspectRefusedAfter : suspectAfter) || !mayJudge) {
         return std::nullopt;
     }
--- a/src/SessionDrain.cpp
+++ b/src/SessionDrain.cpp
@@ -3,7 +3,6 @@
 #include "GroupLeadership.h"
 #include "ProxyState.h"
 #include "SessionStatements.h"
-#include "ZoneIsolation.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -56,7 +55,7 @@
 void reviewSessionDrain(ProxyState &state, Time now, Effects &out)
 {
     SessionServiceState &sessions = *state.sessions_;
-    if (const std::optional<Time> since = cutOffSince(sessions); since && now - *since > untilUnlisted) {
+    if (sessions.cutOff_ && now - sessions.cutOff_->since_ > untilUnlisted) {
         closeRestingSessions(sessions, now, out);
     }
     if (!sessions.drainSince_ || sessions.exiting_) {
--- a/src/SessionMetrics.h
+++ b/src/SessionMetrics.h
@@ -53,6 +53,7 @@
     prometheus::Gauge &waiting_;
     prometheus::Gauge &configurationVersion_;
     prometheus::Gauge &configurationAge_;
+    prometheus::Gauge &membersAge_;
     prometheus::Gauge &vmsHeard_;
     prometheus::Gauge &ready_;
     // Looked up for each statement: finding them by their labels would cost some microseconds each time.
--- a/src/SessionService.cpp
+++ b/src/SessionService.cpp
@@ -1,5 +1,6 @@
 #include "SessionService.h"
 
+#include "CutOff.h"
 #include "GroupLeadership.h"
 #include "MemberConnections.h"
 #include "MemberDirectoryUpdate.h"
@@ -11,7 +12,6 @@
 #include "SessionStatements.h"
 #include "StatementDispatch.h"
 #include "StoreReads.h"
-#include "ZoneIsolation.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -27,29 +27,30 @@
 constexpr Duration probeAfter = std::chrono::milliseconds(300);
 constexpr Duration probeInterval = std::chrono::milliseconds(250);
 
-/** Notes in \p since when \p holds began, and when it ended. */
-void noteCutOff(std::optional<Time> &since, bool holds, std::string_view why, const ZoneId &zone, Time now, Effects &out)
+/** Notes when the VM is cut off from the rest, and when it no longer is, or for another reason. */
+void reviewCutOff(SessionServiceState &sessions, Time now, Effects &out)
 {
-    if (holds == since.has_value()) {
+    const std::optional<CutOffReason> reason = findCutOff(sessions, now);
+    std::optional<CutOff> &noted = sessions.cutOff_;
+    if (noted ? noted->reason_ == reason : !reason) {
         return;
     }
-    since = holds ? std::optional(now) : std::nullopt;
-    out.emplace_back(WriteLog{holds ? LogNumber::ZoneIsolated : LogNumber::ZoneRejoined, {{"zone", zone.value()}, {"reason", std::string(why)}}});
-}
-
-/** Notes when the VM is cut off from the rest, and when it no longer is. */
-void reviewCutOff(SessionServiceState &sessions, Time now, Effects &out)
-{
-    const ZoneId &zone = sessions.identity_.vm_.zone_;
-    noteCutOff(sessions.isolatedSince_, isZoneIsolated(sessions, now), "the zone hears none of the others", zone, now, out);
-    noteCutOff(sessions.servedElsewhereSince_, areAllServedElsewhere(sessions, now), "other VMs hear the primaries, this one does not", zone, now, out);
-    noteCutOff(sessions.minoritySince_, isLeftInMinority(sessions, now), "less than half of the VMs and no primary are heard", zone, now, out);
+    const auto log = [&](LogNumber number, CutOffReason why) {
+        out.emplace_back(WriteLog{number, {{"zone", sessions.identity_.vm_.zone_.value()}, {"reason", std::string(toString(why))}}});
+    };
+    if (noted) {
+        log(LogNumber::VmRejoined, noted->reason_);
+    }
+    noted = reason ? std::optional(CutOff{*reason, now}) : std::nullopt;
+    if (noted) {
+        log(LogNumber::VmCutOff, noted->reason_);
+    }
 }
 
 void reviewReady(ProxyState &state, Effects &out)
 {
     SessionServiceState &sessions = *state.sessions_;
-    const bool ready = sessions.configuration_ && sessions.directoryKnown_ && !sessions.drainSince_ && !cutOffSince(sessions);
+    const bool ready = sessions.configuration_ && sessions.directoryKnown_ && !sessions.drainSince_ && !sessions.cutOff_;
     if (sessions.ready_ != ready) {
         sessions.ready_ = ready;
         out.emplace_back(SessionEffect(SetReady{ready}));
--- a/src/SessionState.h
+++ b/src/SessionState.h
@@ -221,6 +221,18 @@
     Duration drainTime_{}; ///< From the request to shut down to the end of the process.
 };
 
+/** Why a VM counts as cut off from the rest. */
+enum class CutOffReason {
+    Zone, ///< Its zone is cut off from the larger part.
+    Minority, ///< It is in the smaller part of a split, and reaches no primary.
+    Primaries, ///< Other VMs reach the primaries, this one does not.
+};
+struct CutOff
+{
+    CutOffReason reason_ = CutOffReason::Zone;
+    Time since_;
+};
+
 /** State of a proxy's sessions. */
 struct SessionServiceState
 {
@@ -230,6 +242,7 @@
     std::uint64_t directoryRevision_ = 0;
     std::set<std::string> unusableEntries_; ///< Of the directory; each is logged once.
     bool directoryKnown_ = false;
+    Time directoryReadAt_; ///< When the newest list was asked for.
     std::map<SessionKey, ClientSession> sessions_;
     std::map<ConnectionId, MemberConnection> connections_;
     std::map<MemberId, MemberState> members_;
@@ -241,9 +254,7 @@
     bool heartbeatNow_ = false;
     Time startedAt_;
     std::optional<bool> ready_;
-    std::optional<Time> isolatedSince_; ///< The zone is cut off from the larger part.
-    std::optional<Time> minoritySince_; ///< This VM is in the smaller part of a split, and reaches no primary.
-    std::optional<Time> servedElsewhereSince_; ///< Other VMs reach the primaries, this one does not.
+    std::optional<CutOff> cutOff_; ///< Present while the VM counts as cut off.
     std::optional<Time> drainSince_;
     bool exiting_ = false;
 };
--- a/src/SessionStatements.cpp
+++ b/src/SessionStatements.cpp
@@ -36,7 +36,7 @@
     }
     if (!session.pinned_) {
         session.run_->first_ = true;
-        wait(state, session);
+        joinWaiting(state, session);
         return;
     }
     MemberConnection *connection = findConnection(state, *session.pinned_);
--- a/src/StatementDispatch.cpp
+++ b/src/StatementDispatch.cpp
@@ -1,5 +1,6 @@
 #include "StatementDispatch.h"
 
+#include "CutOff.h"
 #include "MemberConnections.h"
 #include "ProxyState.h"
 #include "SessionService.h"
@@ -8,7 +9,6 @@
 #include "StatementOutcome.h"
 #include "StatementPlacement.h"
 #include "StatementSteps.h"
-#include "ZoneIsolation.h"
 
 #include <algorithm>
 
@@ -106,7 +106,7 @@
 {
     const SessionServiceState &sessions = *state.sessions_;
     const bool none = std::ranges::none_of(options, [&](const PlacementOption &option) { return !option.primary_ || reachesPrimary(sessions, group, now); });
-    return none && (cutOffSince(sessions) || isServedElsewhere(sessions, group, now));
+    return none && (sessions.cutOff_ || isServedElsewhere(sessions, group, now));
 }
 
 void placeOne(ProxyState &state, SessionGroup &group, ClientSession &session, Time now, Effects &out)
--- a/src/StatementOutcome.cpp
+++ b/src/StatementOutcome.cpp
@@ -63,7 +63,7 @@
     }
 }
 
-void wait(ProxyState &state, ClientSession &session)
+void joinWaiting(ProxyState &state, ClientSession &session)
 {
     SessionGroup *group = findGroup(state, session.route_.service_);
     if (group == nullptr) {
@@ -132,12 +132,11 @@
     run.avoided_.insert(avoided);
     run.notBefore_ = now + retryPause;
     if (run.tries_ >= maxTries || run.notBefore_ + answerMargin >= run.deadline_) {
-        wait(state, session);
         refuse(state, session, ReplyCode::Retry, comeBack(comeBackAfter, reason), now, out);
         return;
     }
     tellRetry(state, session, reason, now, out);
-    wait(state, session);
+    joinWaiting(state, session);
 }
 
 } // namespace Figward
--- a/src/StatementOutcome.h
+++ b/src/StatementOutcome.h
@@ -15,6 +15,7 @@
 
 /** Answers a statement that no member need run. */
 void answerDone(const ClientSession &session, Effects &out);
+/** Answers such a statement with a failure; \p text tells the client why. */
 void answerError(const ClientSession &session, ReplyCode code, std::string text, Effects &out);
 
 /** Text of a refusal: the client should come back after \p delay. */
@@ -26,7 +27,8 @@
 void endTransaction(ClientSession &session);
 
 /** Lets the statement wait for a connection, by priority of its route and then by deadline. */
-void wait(ProxyState &state, ClientSession &session);
+void joinWaiting(ProxyState &state, ClientSession &session);
+/** Takes the statement of \p session out of those that wait, if it is one. */
 void leaveWaiting(ProxyState &state, const ClientSession &session);
 
 /** Ends the statement with \p reply; the session's state has been set. */
--- a/src/StoreReads.cpp
+++ b/src/StoreReads.cpp
@@ -275,6 +275,7 @@
         }
         onConfigurationRead(state, *read, out);
     } else if (const auto *directory = std::get_if<MemberDirectory>(&answer.content_)) {
+        state.sessions_->directoryReadAt_ = std::max(state.sessions_->directoryReadAt_, call.sentAt_);
         updateDirectory(state, *directory, now, out);
     } else if (const auto *vms = std::get_if<std::vector<EntryVm>>(&answer.content_)) {
         onVmsRead(state, *vms, call.sentAt_);
--- a/test/error/SessionVmsAreSplit.cpp
+++ b/test/error/SessionVmsAreSplit.cpp
@@ -144,7 +144,7 @@
     world.startVm(1);
     world.run(std::chrono::milliseconds(2500));
     EXPECT_TRUE(world.ready(1));
-    EXPECT_THAT(world.logged(LogNumber::ZoneIsolated), IsEmpty());
+    EXPECT_THAT(world.logged(LogNumber::VmCutOff), IsEmpty());
     const std::size_t client = world.open(1, "ledger");
     const std::string id = world.send(client, StatementKind::Write, "WRITE a 1");
     world.run(std::chrono::milliseconds(500));
--- a/test/support/SessionWorld.cpp
+++ b/test/support/SessionWorld.cpp
@@ -4,9 +4,7 @@
 #include "Overloaded.h"
 #include "Reducer.h"
 
-#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_split.h>
 #include <absl/time/time.h>
 #include <algorithm>
 
--- a/test/support/SessionWorldMembers.cpp
+++ b/test/support/SessionWorldMembers.cpp
@@ -1,12 +1,6 @@
 #include "support/SessionWorld.h"
 
-#include "Overloaded.h"
-#include "Reducer.h"
-
-#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_split.h>
-#include <algorithm>
 
 namespace Figward::Testing {
 
