--- a/src/SessionEvents.h
+++ b/src/SessionEvents.h
@@ -79,6 +79,7 @@
     Latest,
     MayBeStale, ///< Cheap; the answer may be seconds old.
 };
+/** Reads the configuration; answered with ConfigurationRead. */
 struct ReadConfiguration
 {
 };
@@ -88,12 +89,15 @@
     std::uint64_t sinceRevision_ = 0;
     Duration wait_{};
 };
+/** Reads the list of members; answered with MemberDirectory. */
 struct ReadMembers
 {
 };
+/** Reads the entries of all VMs; answered with a vector of EntryVm. */
 struct ReadVms
 {
 };
+/** Reads the claims on all groups; answered with a vector of LeaderClaim. */
 struct ReadClaims
 {
 };
@@ -102,18 +106,12 @@
 {
     EntryVm vm_;
 };
-/** Removes the entry of a VM that is gone. */
-struct RemoveVm
-{
-    std::string name_;
-    std::uint64_t revision_ = 0;
-};
 /** Creates the claim, or replaces the object of the claim's revision. */
 struct WriteClaim
 {
     LeaderClaim claim_;
 };
-using StoreRequest = std::variant<ReadConfiguration, WatchConfiguration, ReadMembers, ReadVms, ReadClaims, RegisterVm, RemoveVm, WriteClaim>;
+using StoreRequest = std::variant<ReadConfiguration, WatchConfiguration, ReadMembers, ReadVms, ReadClaims, RegisterVm, WriteClaim>;
 
 /** A call to the store. */
 struct StoreCall
@@ -170,6 +168,7 @@
     ReplyCode code_ = ReplyCode::NoDatabase;
     std::string text_;
 };
+/** Gives a client the one answer to its oldest statement that has none. */
 struct AnswerSession
 {
     SessionKey session_;
@@ -180,16 +179,19 @@
 {
     SessionKey session_;
 };
+/** Sends a request on an open connection; comes back as MemberReplyArrived, or the connection is lost. */
 struct SendToMember
 {
     ConnectionId connection_;
     MemberRequest request_;
 };
+/** Sends a datagram to the VM at "IP:port"; it may be lost, and nothing comes back. */
 struct SendHeartbeat
 {
     std::string address_;
     VmHeartbeat heartbeat_;
 };
+/** Calls the store, or a VM in its place; comes back as StoreAnswered, also when there was no answer in time. */
 struct CallStore
 {
     StoreCall call_;
--- a/src/SessionMetrics.cpp
+++ b/src/SessionMetrics.cpp
@@ -46,7 +46,6 @@
                           [](const ReadVms &) { return "read-vms"; },
                           [](const ReadClaims &) { return "read-claims"; },
                           [](const RegisterVm &) { return "register-vm"; },
-                          [](const RemoveVm &) { return "remove-vm"; },
                           [](const WriteClaim &) { return "write-claim"; },
                       },
                       request);
--- a/src/SessionState.h
+++ b/src/SessionState.h
@@ -227,6 +227,7 @@
     Minority, ///< It is in the smaller part of a split, and reaches no primary.
     Primaries, ///< Other VMs reach the primaries, this one does not.
 };
+/** A VM that counts as cut off, and since when for this reason. */
 struct CutOff
 {
     CutOffReason reason_ = CutOffReason::Zone;
--- a/test/support/SessionWorldStore.cpp
+++ b/test/support/SessionWorldStore.cpp
@@ -115,7 +115,6 @@
             answer.content_ = std::move(claims);
         },
         [&](const RegisterVm &body) { store.vms_[body.vm_.name_] = body.vm_; },
-        [&](const RemoveVm &body) { store.vms_.erase(body.name_); },
         [&](const WriteClaim &body) { answer = executeWrite(call.id_, body); },
     };
     std::visit(handle, call.request_);
