801 says what a refused connection was for, what this VM holds there and what it counts as its part

While 59 VMs were refused, no line told whether a VM wanted too much or others held what it had room for: the hypotheses of the incident could not be told apart by logs.

--- a/src/LineGroupModel.cpp
+++ b/src/LineGroupModel.cpp
@@ -90,6 +90,11 @@
     sessions_[connection].member_ = member;
 }
 
+unsigned LineGroupModel::connections(const MemberId &member) const
+{
+    return static_cast<unsigned>(std::ranges::count_if(sessions_, [&](const auto &entry) { return entry.second.member_ == member; }));
+}
+
 void LineGroupModel::disconnect(ConnectionId connection)
 {
     sessions_.erase(connection);
--- a/src/LineGroupModel.h
+++ b/src/LineGroupModel.h
@@ -70,6 +70,8 @@
     [[nodiscard]] const LineMember &leader() const;
     /** A member that is up and takes a connection. */
     void connect(ConnectionId connection, const MemberId &member);
+    /** Connections of all callers to \p member. */
+    [[nodiscard]] unsigned connections(const MemberId &member) const;
     /** Ends a connection; an open transaction is rolled back. */
     void disconnect(ConnectionId connection);
     /** Runs a request; nothing if the member is down or the connection unknown. */
--- a/src/MemberConnections.cpp
+++ b/src/MemberConnections.cpp
@@ -50,6 +50,22 @@
     member.refusedConnections_ = end == ConnectionEnd::Unreachable;
 }
 
+/** Says what the connection was for, what this VM holds there, and what it counts as its part: whether it wanted too much, or others hold what it has room for. */
+void tellOpenFailure(const SessionServiceState &sessions, const MemberState &member, bool isControl, ConnectionEnd end, Time now, Effects &out)
+{
+    const bool known = sessions.configuration_.has_value();
+    out.emplace_back(WriteLog{LogNumber::UpstreamConnectFailed,
+                              {{"member", member.entry_.id_.value()},
+                               {"reason", end == ConnectionEnd::Refused ? "refused" : "unreachable"},
+                               {"failures", absl::StrCat(member.openFailures_)},
+                               {"for", isControl ? "reports" : "statements"},
+                               {"held", absl::StrCat(member.connections_.size())},
+                               {"idle", absl::StrCat(member.idle_.size())},
+                               {"reports", member.control_ ? "1" : "0"},
+                               {"allowed", known ? absl::StrCat(planFor(sessions, member, now).most_) : "-"},
+                               {"vms", absl::StrCat(countEntryVms(sessions, now))}}});
+}
+
 void noteReply(ProxyState &state, const MemberConnection &connection, const MemberReplyArrived &replied, Time now)
 {
     MemberState *member = findMember(state, connection.member_);
@@ -243,10 +259,7 @@
         if (lost.end_ == ConnectionEnd::Refused) {
             member->refusedAt_ = now;
         }
-        out.emplace_back(WriteLog{LogNumber::UpstreamConnectFailed,
-                                  {{"member", connection.member_.value()},
-                                   {"reason", lost.end_ == ConnectionEnd::Refused ? "refused" : "unreachable"},
-                                   {"failures", absl::StrCat(member->openFailures_)}}});
+        tellOpenFailure(*state.sessions_, *member, connection.isControl_, lost.end_, now, out);
     }
     if (connection.session_) {
         onSessionConnectionLost(state, *connection.session_, connection.member_, now, out);
