--- /dev/null
+++ b/test/support/SessionLoad.cpp
@@ -0,0 +1,178 @@
+#include "support/SessionLoad.h"
+
+namespace Figward::Testing {
+
+namespace {
+
+constexpr unsigned mostAttempts = 3;
+/** From a refusal to the next attempt. */
+constexpr Duration retryPause = std::chrono::milliseconds(50);
+/** Of a client between two statements of a transaction. */
+constexpr Duration statementPause = std::chrono::milliseconds(20);
+constexpr unsigned transactionStatements = 3;
+
+} // namespace
+
+double LoadCount::shareInAim() const
+{
+    return asked_ == 0 ? 1.0 : static_cast<double>(inAim_) / asked_;
+}
+
+SessionLoad::SessionLoad(SessionWorld &world, std::vector<LoadRoute> routes, unsigned vms, std::uint64_t seed)
+    : world_(world)
+    , routes_(std::move(routes))
+    , vms_(vms)
+    , random_(seed)
+{
+    world_.setOnAnswer([this](std::size_t client, const ClientAnswer &answer) { onAnswer(client, answer); });
+}
+
+void SessionLoad::run(Duration duration)
+{
+    const Time end = world_.now() + duration;
+    Duration longest{};
+    for (std::size_t route = 0; route < routes_.size(); ++route) {
+        arrive(route, end);
+        longest = std::max(longest, routes_[route].budget_);
+    }
+    world_.run(duration + longest);
+}
+
+const LoadCount &SessionLoad::count(const std::string &database) const
+{
+    return counts_.at(database);
+}
+
+double SessionLoad::uniform()
+{
+    return std::uniform_real_distribution<double>()(random_);
+}
+
+Duration SessionLoad::exponential(double mean)
+{
+    return Duration(static_cast<std::int64_t>(std::exponential_distribution<double>(1.0 / mean)(random_)));
+}
+
+Duration SessionLoad::workOf(const LoadRoute &route)
+{
+    constexpr double spread = 0.7;
+    std::lognormal_distribution<double> factor(-spread * spread / 2, spread);
+    return Duration(static_cast<std::int64_t>(static_cast<double>(route.work_.count()) * factor(random_)));
+}
+
+void SessionLoad::arrive(std::size_t route, Time end)
+{
+    const Duration pause = exponential(1e6 / routes_[route].perSecond_);
+    if (world_.now() + pause >= end) {
+        return;
+    }
+    world_.after(pause, [this, route, end] {
+        const LoadRoute &kind = routes_[route];
+        Operation operation{.route_ = route, .writes_ = uniform() < kind.writes_, .began_ = world_.now()};
+        const StatementKind work = operation.writes_ ? StatementKind::Write : StatementKind::Read;
+        if (uniform() < kind.transactions_) {
+            operation.statements_.push_back(operation.writes_ ? StatementKind::Begin : StatementKind::BeginRead);
+            operation.statements_.insert(operation.statements_.end(), transactionStatements, work);
+            operation.statements_.push_back(StatementKind::Commit);
+        } else {
+            operation.statements_.push_back(work);
+        }
+        ++counts_[kind.database_].asked_;
+        begin(std::move(operation));
+        arrive(route, end);
+    });
+}
+
+std::size_t SessionLoad::someSession(const std::string &database)
+{
+    unsigned vm = static_cast<unsigned>(random_() % vms_);
+    for (unsigned tried = 0; tried < vms_ && !world_.runs(vm); ++tried) {
+        vm = (vm + 1) % vms_;
+    }
+    std::vector<std::size_t> &free = free_[{vm, database}];
+    while (!free.empty()) {
+        const std::size_t client = free.back();
+        free.pop_back();
+        if (!world_.client(client).closed_) {
+            return client;
+        }
+    }
+    return world_.open(vm, database);
+}
+
+void SessionLoad::begin(Operation operation)
+{
+    const std::size_t client = someSession(routes_[operation.route_].database_);
+    underWay_[client] = std::move(operation);
+    sendNext(client);
+}
+
+void SessionLoad::sendNext(std::size_t client)
+{
+    Operation &operation = underWay_.at(client);
+    const LoadRoute &route = routes_[operation.route_];
+    if (world_.now() - operation.began_ > route.budget_) {
+        underWay_.erase(client);
+        world_.close(client); // The client has given up.
+        return;
+    }
+    ClientStatement statement;
+    statement.id_ = "load-" + std::to_string(client) + "-" + std::to_string(random_());
+    statement.kind_ = operation.statements_[operation.next_];
+    statement.text_ = statement.kind_ == StatementKind::Write ? "WRITE a 1" : "READ a";
+    operation.waitsFor_ = statement.id_;
+    world_.setWork(statement.id_, workOf(route));
+    world_.send(client, statement);
+}
+
+void SessionLoad::onAnswer(std::size_t client, const ClientAnswer &answer)
+{
+    const auto found = underWay_.find(client);
+    if (found == underWay_.end() || found->second.waitsFor_ != answer.id_) {
+        return;
+    }
+    Operation &operation = found->second;
+    if (answer.reply_.code_ != ReplyCode::None) {
+        fail(client, answer.reply_.code_);
+        return;
+    }
+    if (++operation.next_ < operation.statements_.size()) {
+        operation.pauses_ += statementPause;
+        world_.after(statementPause, [this, client] { sendNext(client); });
+        return;
+    }
+    const LoadRoute &route = routes_[operation.route_];
+    LoadCount &count = counts_[route.database_];
+    const bool inAim = world_.now() - operation.began_ - operation.pauses_ <= route.aim_;
+    ++(inAim ? count.inAim_ : count.late_);
+    free_[{world_.client(client).vm_, route.database_}].push_back(client);
+    underWay_.erase(found);
+}
+
+void SessionLoad::fail(std::size_t client, ReplyCode code)
+{
+    Operation operation = std::move(underWay_.at(client));
+    underWay_.erase(client);
+    if (!world_.client(client).closed_) {
+        world_.close(client);
+    }
+    const bool mayAskAgain = promisesNotRun(code) || code == ReplyCode::Aborted || !operation.writes_;
+    if (!mayAskAgain || operation.attempts_ == mostAttempts) {
+        return;
+    }
+    ++operation.attempts_;
+    operation.next_ = 0;
+    world_.after(retryPause, [this, operation] { begin(operation); });
+}
+
+std::vector<LoadRoute> ledgerLoad(double scale)
+{
+    using std::chrono::milliseconds;
+    return {
+        {"ledger", 36.5 * scale, milliseconds(11), 0.35, 0.25, milliseconds(200), milliseconds(2000)},
+        {"history", 36.5 * scale, milliseconds(55), 0.0, 0.1, milliseconds(800), milliseconds(8000)},
+        {"dispatch", 170.5 * scale, milliseconds(33), 0.12, 0.12, milliseconds(400), milliseconds(2000)},
+    };
+}
+
+} // namespace Figward::Testing
--- a/test/support/SessionWorld.h
+++ b/test/support/SessionWorld.h
@@ -25,7 +25,9 @@
 {
     unsigned vms_ = 4; ///< Over three availability zones in turn.
     unsigned members_ = 3; ///< One a zone, the first is the primary.
-    unsigned maxConnections_ = 34;
+    unsigned maxConnections_ = 34; ///< By the configuration; members refuse more only if they have slots.
+    unsigned slots_ = 0; ///< Openings and statements that a member works on at once, the others in their order; zero: any number.
+    Duration openTime_ = std::chrono::milliseconds(12); ///< That an opening takes at the member.
     unsigned syncReplicas_ = 0;
     std::uint64_t seed_ = 1;
     Duration networkDelay_ = std::chrono::milliseconds(1);
@@ -76,6 +78,11 @@
     std::size_t open(unsigned vm, const std::string &database);
     /** Sends a statement; returns its id. */
     std::string send(std::size_t client, StatementKind kind, const std::string &text = {});
+    /** The member works on the statement with this id for so long, in place of workTime_. */
+    void setWork(const std::string &id, Duration work);
+    /** Called when a client's statement was answered; must not let time pass. */
+    using OnAnswer = std::function<void(std::size_t client, const ClientAnswer &answer)>;
+    void setOnAnswer(OnAnswer onAnswer);
     /** Sends any statement. */
     void send(std::size_t client, const ClientStatement &statement);
     void close(std::size_t client);
@@ -192,6 +199,12 @@
     void perform(unsigned vm, const Effect &effect);
     void perform(unsigned vm, const SessionEffect &effect);
     void openConnection(unsigned vm, const OpenConnection &effect);
+    /** Refuses the opening if the member is down or full; true if so. */
+    bool refuseOpening(unsigned vm, unsigned member, const OpenConnection &effect);
+    void openAtBusyMember(unsigned vm, unsigned member, std::uint64_t incarnation, const OpenConnection &effect);
+    /** When \p member has done \p work that comes at \p arrives: it takes the slot that is free first. */
+    Time workDone(unsigned member, Time arrives, Duration work);
+    [[nodiscard]] bool isFull(unsigned member) const;
     void sendToMember(unsigned vm, const SendToMember &effect);
     void runAtMember(unsigned vm, std::uint64_t incarnation, const SendToMember &effect);
     void loseConnection(unsigned vm, ConnectionId connection);
@@ -225,6 +238,9 @@
     std::set<std::pair<unsigned, unsigned>> vmCuts_;
     std::set<unsigned> storeCuts_;
     std::set<unsigned> fullMembers_;
+    std::map<unsigned, std::vector<Time>> slots_; ///< By member: when each of its slots is free.
+    std::map<std::string, Duration> work_; ///< By statement id, where it is not workTime_.
+    OnAnswer onAnswer_;
     std::vector<WorldClient> clients_;
     std::uint64_t nextStatement_ = 1;
     std::map<std::string, ReadNeed> needs_; ///< By statement id.
--- a/test/support/SessionWorldClients.cpp
+++ b/test/support/SessionWorldClients.cpp
@@ -49,6 +49,16 @@
     give(client.vm_, SessionEvent(StatementArrived{client.key_, statement}));
 }
 
+void SessionWorld::setWork(const std::string &id, Duration work)
+{
+    work_[id] = work;
+}
+
+void SessionWorld::setOnAnswer(OnAnswer onAnswer)
+{
+    onAnswer_ = std::move(onAnswer);
+}
+
 void SessionWorld::close(std::size_t client)
 {
     clients_[client].closed_ = true;
@@ -101,6 +111,9 @@
     client->unanswered_.pop_front();
     const ClientAnswer answer{id, effect.reply_, now_};
     client->answers_.push_back(answer);
+    if (onAnswer_) {
+        schedule(now_, [this, number = static_cast<std::size_t>(client - clients_.data()), answer] { onAnswer_(number, answer); });
+    }
     const bool done = effect.reply_.code_ == ReplyCode::None;
     if (done && effect.reply_.receipt_ != "-" && effect.reply_.receipt_ != absl::StrCat("receipt-", id)) {
         violate(absl::StrCat("statement ", id, " was answered with ", effect.reply_.receipt_));
--- a/test/support/SessionWorldMembers.cpp
+++ b/test/support/SessionWorldMembers.cpp
@@ -1,15 +1,10 @@
 #include "support/SessionWorld.h"
 
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 
 namespace Figward::Testing {
 
-namespace {
-
-constexpr Duration openTime = std::chrono::milliseconds(12);
-
-} // namespace
-
 ConnectionId SessionWorld::worldConnection(unsigned vm, ConnectionId connection) const
 {
     constexpr std::uint64_t perVm = std::uint64_t{1} << 32U;
@@ -34,31 +29,77 @@
         }
         return; // Packets are lost; the proxy's own time-out ends it.
     }
-    schedule(now_ + openTime + 2 * config_.networkDelay_, [this, vm, member, incarnation, effect] {
+    if (config_.slots_ != 0) {
+        schedule(now_ + config_.networkDelay_, [this, vm, member, incarnation, effect] { openAtBusyMember(vm, member, incarnation, effect); });
+        return;
+    }
+    schedule(now_ + config_.openTime_ + 2 * config_.networkDelay_, [this, vm, member, incarnation, effect] {
         if (vms_[vm].incarnation_ != incarnation || !vms_[vm].connections_.contains(effect.connection_)) {
             return;
         }
-        const bool up = group_.member(effect.member_).up_;
-        if (!up || fullMembers_.contains(member)) {
-            vms_[vm].connections_.erase(effect.connection_);
-            give(vm, incarnation, ConnectionLost{effect.connection_, up ? ConnectionEnd::Refused : ConnectionEnd::Unreachable});
-            return;
+        if (!refuseOpening(vm, member, effect) && !vmMemberCuts_.contains({vm, member})) {
+            group_.connect(worldConnection(vm, effect.connection_), effect.member_);
+            give(vm, incarnation, ConnectionOpened{effect.connection_});
         }
-        if (vmMemberCuts_.contains({vm, member})) {
-            return;
+    });
+}
+
+bool SessionWorld::refuseOpening(unsigned vm, unsigned member, const OpenConnection &effect)
+{
+    const bool up = group_.member(effect.member_).up_;
+    if (up && !isFull(member)) {
+        return false;
+    }
+    vms_[vm].connections_.erase(effect.connection_);
+    give(vm, vms_[vm].incarnation_, ConnectionLost{effect.connection_, up ? ConnectionEnd::Refused : ConnectionEnd::Unreachable});
+    return true;
+}
+
+void SessionWorld::openAtBusyMember(unsigned vm, unsigned member, std::uint64_t incarnation, const OpenConnection &effect)
+{
+    const auto isWanted = [this, vm, incarnation, effect] {
+        return vms_[vm].incarnation_ == incarnation && vms_[vm].connections_.contains(effect.connection_);
+    };
+    if (!isWanted() || refuseOpening(vm, member, effect) || vmMemberCuts_.contains({vm, member})) {
+        return;
+    }
+    group_.connect(worldConnection(vm, effect.connection_), effect.member_);
+    schedule(workDone(member, now_, config_.openTime_) + config_.networkDelay_, [this, vm, member, incarnation, effect, isWanted] {
+        if (isWanted() && !vmMemberCuts_.contains({vm, member})) {
+            give(vm, incarnation, ConnectionOpened{effect.connection_});
         }
-        group_.connect(worldConnection(vm, effect.connection_), effect.member_);
-        give(vm, incarnation, ConnectionOpened{effect.connection_});
     });
 }
 
+Time SessionWorld::workDone(unsigned member, Time arrives, Duration work)
+{
+    if (config_.slots_ == 0) {
+        return arrives + work;
+    }
+    std::vector<Time> &free = slots_.try_emplace(member, config_.slots_).first->second;
+    const auto first = std::ranges::min_element(free);
+    *first = std::max(arrives, *first) + work;
+    return *first;
+}
+
+bool SessionWorld::isFull(unsigned member) const
+{
+    const bool enforced = config_.slots_ != 0;
+    return fullMembers_.contains(member) || (enforced && group_.connections(memberId(member)) >= config_.maxConnections_);
+}
+
 void SessionWorld::sendToMember(unsigned vm, const SendToMember &effect)
 {
     const std::uint64_t incarnation = vms_[vm].incarnation_;
     const bool works =
         effect.request_.verb_ == MemberVerb::Forward || effect.request_.verb_ == MemberVerb::Execute || effect.request_.verb_ == MemberVerb::Commit;
-    const Duration work = works ? config_.workTime_ : Duration(0);
-    schedule(now_ + config_.networkDelay_ + work, [this, vm, incarnation, effect] { runAtMember(vm, incarnation, effect); });
+    const auto own = work_.find(effect.request_.id_);
+    const Duration work = !works ? Duration(0) : own == work_.end() ? config_.workTime_ : own->second;
+    const Time arrives = now_ + config_.networkDelay_;
+    const auto connection = vms_[vm].connections_.find(effect.connection_);
+    const bool held = works && connection != vms_[vm].connections_.end();
+    const Time done = held ? workDone(connection->second, arrives, work) : arrives + work;
+    schedule(done, [this, vm, incarnation, effect] { runAtMember(vm, incarnation, effect); });
 }
 
 void SessionWorld::runAtMember(unsigned vm, std::uint64_t incarnation, const SendToMember &effect)
