Connections rest by what a VM sees of its own use; residents at replicas and at the primary; reads leave visited primaries alone

Callers behind many VMs saw records at the primary late or refused in a rush, or at more VMs than the 59 and 77 the rests had been set for.

A rest is now what keeps a quarter of the member's connections resting if all VMs come as often as this one; a VM has a home among the replicas, and half of the primary's connections are for residents of their own; where VMs visit, reads go to a replica of another zone first; a share is taken only where it is three with the one for reports.

--- a/src/ConnectionPlan.cpp
+++ b/src/ConnectionPlan.cpp
@@ -3,13 +3,17 @@
 #include "Rendezvous.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Figward {
 
 namespace {
 
-/** A VM whose share is smaller keeps no connection for each member: its transactions, which rest between statements, would take the whole share. */
-constexpr unsigned smallestShare = 2;
+/**
+ * A VM whose part is smaller has no share: two for statements, as its transactions, which rest between statements, would take the whole of one, and one for
+ * reports on the primary. Without the one for reports, VMs whose shares were just two were refused (24 VMs before 48 connections).
+ */
+constexpr unsigned smallestPart = 3;
 /** A VM that visits runs at most this many statements and transactions at one member: more than members have slots only wait there. */
 constexpr unsigned mostVisits = 4;
 /**
@@ -17,13 +21,21 @@
  * return for 3 s. With 1 s, the mean worth of 15 plays of five days with trouble rose from 0.857 to 0.865.
  */
 constexpr Duration spareRest = std::chrono::seconds(1);
-/**
- * Visits rest so that the VM's next statement saves the opening, which takes one of three slots for 12 ms. In a burst at 77 VMs, rests of 1 s and 250 ms gave
- * 0.53 of what the day's first 14 s were worth; 300 and 50 ms gave 0.50 (openings took the slots), 3 s and 1 s gave 0.49 (no connection was left).
- */
-constexpr Duration replicaRest = std::chrono::milliseconds(1000);
-/** The same at a primary, whose connections are the scarcest: each transaction that may write holds one there, also while it rests. */
-constexpr Duration primaryRest = std::chrono::milliseconds(250);
+/** Of a member's connections, those that may rest after visits: the rest is for statements at work and transactions. */
+constexpr double restingPart = 0.25;
+/** A rest is no longer, however seldom this VM comes: with longer ones, VMs that start again after a loss of power found no room. */
+constexpr Duration longestRest = std::chrono::milliseconds(1000);
+/** However few VMs there are, visits are no more certain than this to find a connection that rests. */
+constexpr double mostReuse = 0.95;
+/** Visits rarer than this rest as if they were not: until a VM has come a few times, its rate is not known, and all VMs may begin at once. */
+constexpr double fewestPerSecond = 1;
+/** Uses count for this long in an average: it follows a burst within seconds, and at one use a second still counts five. */
+constexpr double useMemorySeconds = 5;
+
+double secondsBetween(Time from, Time to)
+{
+    return std::chrono::duration<double>(to - from).count();
+}
 
 std::uint64_t homeWeight(const MemberId &member, VmId vm)
 {
@@ -34,19 +46,44 @@
 
 bool areConnectionsScarce(unsigned limit, unsigned vms)
 {
-    return limit < smallestShare * std::max(1U, vms);
+    return limit < smallestPart * std::max(1U, vms);
 }
 
 ConnectionPlan planConnections(const ConnectionDemand &demand)
 {
     if (demand.mayVisit_ && areConnectionsScarce(demand.limit_, demand.vms_)) {
-        return {demand.resident_ ? 1U : 0U, std::min(mostVisits, std::max(1U, demand.limit_)), demand.primary_ ? primaryRest : replicaRest};
+        return {demand.resident_ ? 1U : 0U, std::min(mostVisits, std::max(1U, demand.limit_)), visitRest(demand.limit_, demand.vms_, demand.perSecond_), true};
     }
     const unsigned share = std::max(1U, demand.limit_ / std::max(1U, demand.vms_));
     const unsigned resting = demand.leavesRoom_ ? std::max(1U, share / 2) : share;
     return {resting, share, spareRest};
 }
 
+Duration visitRest(unsigned limit, unsigned vms, double perSecond)
+{
+    // Of VMs that come at random, 1 - exp(-rate * rest) hold a connection at any moment.
+    const double reuse = std::min(mostReuse, restingPart * limit / std::max(1U, vms));
+    const double rest = -std::log(1 - reuse) / std::max(perSecond, fewestPerSecond);
+    const double longest = std::chrono::duration<double>(longestRest).count();
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::min(rest, longest)));
+}
+
+void noteUse(UseRate &rate, Time now)
+{
+    rate.perSecond_ = usesPerSecond(rate, now) + 1 / useMemorySeconds;
+    rate.at_ = now;
+}
+
+double usesPerSecond(const UseRate &rate, Time now)
+{
+    return rate.perSecond_ * std::exp(-secondsBetween(rate.at_, now) / useMemorySeconds);
+}
+
+unsigned mostResidents(unsigned limit)
+{
+    return limit / 2;
+}
+
 std::optional<MemberId> homeOf(const HomeSeeker &vm, absl::Span<const HomeCandidate> members)
 {
     const auto order = [&](const HomeCandidate &member) { return std::pair(member.zone_ == vm.zone_, homeWeight(member.member_, vm.vm_)); };
@@ -54,11 +91,11 @@
     return best == members.end() ? std::nullopt : std::optional(best->member_);
 }
 
-bool isResident(const HomeSeeker &self, const MemberId &home, absl::Span<const HomeSeeker> others, absl::Span<const HomeCandidate> members, unsigned limit)
+bool isResident(const HomeSeeker &self, const MemberId &home, absl::Span<const HomeSeeker> others, absl::Span<const HomeCandidate> members, unsigned most)
 {
     const std::uint64_t weight = homeWeight(home, self.vm_);
     const auto goesBefore = [&](const HomeSeeker &other) { return homeWeight(home, other.vm_) > weight && homeOf(other, members) == home; };
-    return static_cast<unsigned>(std::ranges::count_if(others, goesBefore)) < limit / 2;
+    return static_cast<unsigned>(std::ranges::count_if(others, goesBefore)) < most;
 }
 
 } // namespace Figward
--- a/src/ConnectionSharing.cpp
+++ b/src/ConnectionSharing.cpp
@@ -9,7 +9,7 @@
 /** A VM that was silent for this long no longer counts among those that share connections. */
 constexpr Duration sharesConnections = std::chrono::seconds(4);
 /** VMs and members come and go rarely, and a home costs a hash for each pair of them. */
-constexpr Duration homeInterval = std::chrono::seconds(1);
+constexpr Duration residenceInterval = std::chrono::seconds(1);
 
 bool sharesWith(const PeerVm &peer, Time now)
 {
@@ -29,12 +29,13 @@
     return scarce && sessions.identity_.policies_.visits_;
 }
 
+/** The replicas: VMs read there, so that the primary has its slots and connections for what it alone may run. */
 std::vector<HomeCandidate> homeCandidates(const SessionServiceState &sessions, const SessionGroup &group)
 {
     std::vector<HomeCandidate> candidates;
     for (const MemberId &id : group.members_) {
         const auto member = sessions.members_.find(id);
-        if (member != sessions.members_.end() && !member->second.entry_.leaving_) {
+        if (member != sessions.members_.end() && !member->second.entry_.leaving_ && id != group.authority_.primary_) {
             candidates.push_back({id, member->second.entry_.zone_});
         }
     }
@@ -75,28 +76,34 @@
     ConnectionDemand demand;
     demand.limit_ = connectionLimit(sessions, member.entry_.service_);
     demand.vms_ = countEntryVms(sessions, now);
-    demand.resident_ = known && group->second.home_ == member.entry_.id_;
-    demand.primary_ = known && group->second.authority_.primary_ == member.entry_.id_;
+    demand.resident_ = known && group->second.residences_.contains(member.entry_.id_);
+    demand.perSecond_ = usesPerSecond(member.use_, now);
     demand.mayVisit_ = sessions.identity_.policies_.visits_;
     demand.leavesRoom_ = sessions.identity_.policies_.leavesRoom_;
     return planConnections(demand);
 }
 
-void reviewHome(const SessionServiceState &sessions, SessionGroup &group, Time now)
+void reviewResidences(const SessionServiceState &sessions, SessionGroup &group, Time now)
 {
-    if (now < group.homeReviewAt_) {
+    if (now < group.residenceReviewAt_) {
         return;
     }
-    group.homeReviewAt_ = now + homeInterval;
-    group.home_.reset();
+    group.residenceReviewAt_ = now + residenceInterval;
+    group.residences_.clear();
     if (!visits(sessions, group, now)) {
         return; // Each VM has a share of each member.
     }
     const HomeSeeker self{sessions.identity_.vm_.incarnation_, sessions.identity_.vm_.zone_};
-    const std::vector<HomeCandidate> candidates = homeCandidates(sessions, group);
-    const std::optional<MemberId> home = homeOf(self, candidates);
-    if (home && isResident(self, *home, otherVms(sessions, now), candidates, connectionLimit(sessions, group.id_))) {
-        group.home_ = home;
+    const std::vector<HomeSeeker> others = otherVms(sessions, now);
+    const unsigned limit = connectionLimit(sessions, group.id_);
+    const std::vector<HomeCandidate> replicas = homeCandidates(sessions, group);
+    const std::optional<MemberId> home = homeOf(self, replicas);
+    if (home && isResident(self, *home, others, replicas, mostResidents(limit))) {
+        group.residences_.insert(*home);
+    }
+    const std::vector<HomeCandidate> primary{{group.authority_.primary_, ZoneId()}};
+    if (isResident(self, group.authority_.primary_, others, primary, mostResidents(limit))) {
+        group.residences_.insert(group.authority_.primary_);
     }
 }
 
--- a/src/ConnectionSharing.h
+++ b/src/ConnectionSharing.h
@@ -10,8 +10,8 @@
 
 /** The plan for the connections to \p member at \p now. */
 ConnectionPlan planFor(const SessionServiceState &sessions, const MemberState &member, Time now);
-/** Chooses the group's home anew if that is due; see SessionGroup::home_. */
-void reviewHome(const SessionServiceState &sessions, SessionGroup &group, Time now);
+/** Chooses anew which members this VM stays connected to, if that is due; see SessionGroup::residences_. */
+void reviewResidences(const SessionServiceState &sessions, SessionGroup &group, Time now);
 /**
  * Whether this VM asks the group's primary for reports to know that it lives. Where connections are too few for all VMs, the leader does so for all: a
  * connection of each VM for that alone would take all that a member has.
--- a/src/SessionService.cpp
+++ b/src/SessionService.cpp
@@ -118,7 +118,7 @@
     if (!state.sessions_->configuration_) {
         return;
     }
-    reviewHome(*state.sessions_, group, now);
+    reviewResidences(*state.sessions_, group, now);
     reviewLeadership(state, group, now, out);
     if (asksPrimary(*state.sessions_, group, now)) {
         probePrimary(state, group, now, out);
--- a/src/SessionState.h
+++ b/src/SessionState.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "ConnectionPlan.h"
 #include "PositionSamples.h"
 #include "PrimaryAuthority.h"
 #include "SessionEvents.h"
@@ -102,6 +103,7 @@
     std::set<ConnectionId> connections_; ///< All but those for control.
     std::vector<ConnectionId> idle_;
     std::optional<ConnectionId> control_;
+    UseRate use_; ///< By statements of this VM.
     std::optional<Time> heard_; ///< When the last request that it answered was sent.
     Time controlAsked_;
     std::optional<ReplicationReport> report_;
@@ -171,8 +173,8 @@
     Time authorityLostAt_; ///< When it was last lost; the start of the process before it was first held.
     std::uint64_t heldEpoch_ = 0; ///< Of the authority held last; zero before the first. One of a later epoch follows a replacement.
     QueueHistory queue_; ///< Of waiting_.
-    std::optional<MemberId> home_; ///< This VM keeps a connection to it though connections are too few for all VMs.
-    Time homeReviewAt_; ///< The home is not chosen anew before.
+    std::set<MemberId> residences_; ///< This VM keeps a connection to these though connections are too few for all VMs: a replica, the primary, or both.
+    Time residenceReviewAt_; ///< They are not chosen anew before.
 };
 
 /** What is known of another entry VM. */
--- a/src/StatementDispatch.cpp
+++ b/src/StatementDispatch.cpp
@@ -60,6 +60,7 @@
         option.suspect_ = member->silent_ > 0 || member->openFailures_ > 0;
         option.idleConnection_ = !member->idle_.empty();
         const ConnectionPlan plan = planFor(*state.sessions_, *member, now);
+        option.visited_ = plan.visits_;
         option.mayOpen_ = member->connections_.size() < connectionsAllowed(plan, now - run.arrived_) && now >= member->openAfter_;
         options.push_back(option);
     }
@@ -183,6 +184,7 @@
     MemberState &member = *findMember(state, *placement.run_);
     std::erase(group.waiting_, session.key_);
     noteStart(group.queue_, now);
+    noteUse(member.use_, now);
     startOn(state, session, *findConnection(state, takeIdle(state, member, session)), now, out);
     return false;
 }
--- a/src/StatementPlacement.cpp
+++ b/src/StatementPlacement.cpp
@@ -10,6 +10,8 @@
 constexpr double otherZone = 1.0;
 /** Writes can go to the primary only, so reads leave it a little room. */
 constexpr double primaryRoom = 0.5;
+/** Where VMs visit, a read at the primary takes a connection there too: a replica of another zone goes first, also with a statement more of this VM. */
+constexpr double visitedPrimaryRoom = 2.0;
 /** Lagging members mostly refuse, which costs a round trip and a slot. */
 constexpr double lagging = 10.0;
 constexpr double leaving = 100.0;
@@ -20,9 +22,17 @@
 /** A statement that has waited for this long may open a connection above ordinary load: about one statement's work. */
 constexpr std::chrono::milliseconds patience(30);
 
+double roomOf(const PlacementOption &option)
+{
+    if (!option.spared_) {
+        return 0;
+    }
+    return option.visited_ ? visitedPrimaryRoom : primaryRoom;
+}
+
 double cost(const PlacementOption &option)
 {
-    return static_cast<double>(option.busy_) + (option.sameZone_ ? 0.0 : otherZone) + (option.spared_ ? primaryRoom : 0.0) + (option.lagging_ ? lagging : 0.0)
+    return static_cast<double>(option.busy_) + (option.sameZone_ ? 0.0 : otherZone) + roomOf(option) + (option.lagging_ ? lagging : 0.0)
            + (option.leaving_ ? leaving : 0.0) + (option.suspect_ ? suspect : 0.0);
 }
 
--- a/src/StatementPlacement.h
+++ b/src/StatementPlacement.h
@@ -25,6 +25,7 @@
     bool suspect_ = false; ///< Fell silent or cannot be reached.
     bool primary_ = false;
     bool spared_ = false; ///< Others go before it a little, so that it has room for what it alone may run.
+    bool visited_ = false; ///< This VM has no share of its connections; see ConnectionPlan.h.
     bool idleConnection_ = false;
     bool mayOpen_ = false; ///< A further connection fits into this VM's share.
 };
