203 and 204 tell when a newer configuration is heard of, and what each read of one brought, from whom, in which time

Between the acceptance of a configuration and its force seconds later a VM logged nothing of it. Each newer version is told once; reads only where they bring something, fail or take over 1 s.

--- a/src/LogEvents.h
+++ b/src/LogEvents.h
@@ -31,6 +31,8 @@
     SettingsRefused = 104,
     ConfigurationInForce = 201,
     ConfigurationRefused = 202,
+    ConfigurationNewerHeard = 203,
+    ConfigurationFetched = 204,
     VmListChanged = 301,
     OwnershipBegan = 302,
     OwnershipEnds = 303,
--- a/src/SessionEvents.h
+++ b/src/SessionEvents.h
@@ -142,6 +142,7 @@
 {
     std::uint64_t revision_ = 0;
     std::optional<SessionConfiguration> configuration_; ///< Absent: nothing new.
+    std::size_t bytes_ = 0; ///< Of the answers that brought it.
 };
 using StoreContent = std::variant<std::monostate, ConfigurationRead, MemberDirectory, std::vector<EntryVm>, std::vector<LeaderClaim>>;
 /** A call to the store ended. */
--- a/src/SessionHeartbeats.cpp
+++ b/src/SessionHeartbeats.cpp
@@ -174,6 +174,17 @@
     }
 }
 
+/** Tells of each newer version once. */
+void noteNewerHeard(ProxyState &state, const VmHeartbeat &heartbeat, ConfigVersion mine, Effects &out)
+{
+    if (heartbeat.configuration_ <= state.sessions_->newestHeard_) {
+        return;
+    }
+    state.sessions_->newestHeard_ = heartbeat.configuration_;
+    out.emplace_back(WriteLog{LogNumber::ConfigurationNewerHeard,
+                              {{"version", absl::StrCat(heartbeat.configuration_.value())}, {"from", heartbeat.name_}, {"mine", absl::StrCat(mine.value())}}});
+}
+
 } // namespace
 
 bool isFresh(const PeerVm &peer, Time now)
@@ -199,6 +210,7 @@
     }
     const ConfigVersion mine = state.sessions_->configuration_ ? state.sessions_->configuration_->version_ : ConfigVersion(0);
     if (mine < heartbeat.configuration_) {
+        noteNewerHeard(state, heartbeat, mine, out);
         fetchConfiguration(state, heartbeat.address_, now, out);
     }
 }
--- a/src/SessionState.h
+++ b/src/SessionState.h
@@ -263,6 +263,7 @@
     SessionIdentity identity_;
     std::optional<SessionConfiguration> configuration_;
     std::uint64_t configurationRevision_ = 0;
+    ConfigVersion newestHeard_; ///< Of the configurations that other VMs have.
     std::uint64_t directoryRevision_ = 0;
     std::set<std::string> unusableEntries_; ///< Of the directory; each is logged once.
     bool directoryKnown_ = false;
--- a/src/StoreReads.cpp
+++ b/src/StoreReads.cpp
@@ -49,6 +49,8 @@
 /** Until other VMs are known, the list is read this often. */
 constexpr Duration firstVmInterval = std::chrono::milliseconds(1000);
 constexpr Duration claimInterval = std::chrono::milliseconds(350);
+/** A read of the configuration that takes longer is told: on a link that is not busy even a large one takes about a second. */
+constexpr Duration slowFetch = std::chrono::milliseconds(1000);
 /** Pause after a call that failed. */
 constexpr Duration failurePause = std::chrono::milliseconds(300);
 
@@ -197,6 +199,51 @@
     acceptWaitingSessions(state, out);
 }
 
+std::string_view outcomeName(StoreResult result)
+{
+    switch (result) {
+    case StoreResult::Done:
+        return "done";
+    case StoreResult::HistoryGone:
+        return "history-gone";
+    case StoreResult::Refused:
+        return "refused";
+    case StoreResult::Unreadable:
+        return "unreadable";
+    case StoreResult::NotFound:
+    case StoreResult::Conflict:
+    case StoreResult::Unknown:
+        break;
+    }
+    return "no answer";
+}
+
+/** Tells of a read that brought a newer configuration, failed, or took long; a watch that ends without a change is none. */
+void tellFetch(const SessionServiceState &sessions, const StoreCallUnderWay &call, const StoreAnswered &answer, Time now, Effects &out)
+{
+    const auto *watch = std::get_if<WatchConfiguration>(&call.request_);
+    if (watch == nullptr && !std::holds_alternative<ReadConfiguration>(call.request_)) {
+        return;
+    }
+    const auto *read = std::get_if<ConfigurationRead>(&answer.content_);
+    const bool whole = read != nullptr && read->configuration_;
+    const bool newer = whole && (!sessions.configuration_ || sessions.configuration_->version_ < read->configuration_->version_);
+    const bool slow = whole && now - call.sentAt_ > slowFetch;
+    if (answer.result_ == StoreResult::Done && !newer && !slow) {
+        return;
+    }
+    out.emplace_back(WriteLog{LogNumber::ConfigurationFetched,
+                              {{"by",
+                                watch == nullptr  ? "read"
+                                : isCheck(*watch) ? "check"
+                                                  : "watch"},
+                               {"from", call.peer_.empty() ? "store" : call.peer_},
+                               {"outcome", std::string(outcomeName(answer.result_))},
+                               {"version", whole ? absl::StrCat(read->configuration_->version_.value()) : "-"},
+                               {"bytes", read == nullptr ? "-" : absl::StrCat(read->bytes_)},
+                               {"ms", absl::StrCat(toMillis(now - call.sentAt_))}}});
+}
+
 void onVmsRead(ProxyState &state, const std::vector<EntryVm> &vms, Time askedAt)
 {
     SessionServiceState &sessions = *state.sessions_;
@@ -377,6 +424,7 @@
     state.sessions_->calls_.erase(found);
     clearSlots(state.sessions_->schedule_, answer.id_);
     noteReachable(state, call, answer.result_, now, out);
+    tellFetch(*state.sessions_, call, answer, now, out);
     if (const auto *write = std::get_if<WriteClaim>(&call.request_)) {
         onClaimWritten(state, *write, answer, call.sentAt_, now, out);
         return;
