A forwarded request that arrives twice is taken once: its second copy is not refused in its place

The trace: the forward arrived twice at its owner in the same instant; the first copy was queued; for the second, with the first ahead of it, there was no time left before the deadline, and it was refused as overloaded; the entry passed that on, and 25 ms later the first copy ran. Any refusal by the queue or while replicas are behind could do it. Cause: requests of transactions were guarded against doubled messages, single ones were left to their key, which guards against two runs and not against two answers.

aWriteThatWaitsIsNotRefusedByItsCopy fails without the window, and so do the two older tests of that file.

--- a/src/Membership.cpp
+++ b/src/Membership.cpp
@@ -135,9 +135,16 @@
     }
 }
 
-void forgetOld(MembershipState &membership, Time now)
+void forgetOld(ProxyState &state, Time now)
 {
-    std::erase_if(membership.gone_, [&](const auto &entry) { return now - entry.second > tombstoneLife; });
+    MembershipState &membership = state.membership_;
+    std::erase_if(membership.gone_, [&](const auto &entry) {
+        const bool old = now - entry.second > tombstoneLife;
+        if (old) {
+            state.forwards_.erase(entry.first);
+        }
+        return old;
+    });
     std::erase_if(membership.introduced_, [&](const auto &entry) { return now - entry.second > listLag; });
 }
 
@@ -212,7 +219,7 @@
     if (answer.status_ != PlatformStatus::Ok || answer.vms_.empty() || needsConfirmation(membership, answer.vms_.size())) {
         return;
     }
-    forgetOld(membership, now);
+    forgetOld(state, now);
     std::vector<VmInfo> vms;
     for (VmInfo vm : answer.vms_) {
         const bool own = vm.id_ == state.identity_.self_.id_;
--- a/src/OwnerRequests.cpp
+++ b/src/OwnerRequests.cpp
@@ -56,24 +56,6 @@
     return owner->leaving_ ? ErrorKind::NotOwner : ErrorKind::None;
 }
 
-/**
- * Whether a message that arrived twice would open a second transaction or run a step a second time. Writes outside transactions have their key for that,
- * and reads may repeat.
- */
-bool isRepeated(GroupOwner *owner, const OwnedRequest &owned)
-{
-    if (owner == nullptr || owned.request_.transaction_ == TransactionId(0)) {
-        return false;
-    }
-    const TransactionKey key = transactionKeyOf(owned);
-    const auto transaction = owner->requests_.transactions_.find(key);
-    if (owned.request_.kind_ != RequestKind::Begin) {
-        return transaction != owner->requests_.transactions_.end() && owned.origin_.id_ <= transaction->second.lastStep_;
-    }
-    const bool begins = std::ranges::any_of(owner->requests_.byTicket_, [&](const auto &entry) { return transactionKeyOf(entry.second) == key; });
-    return begins || transaction != owner->requests_.transactions_.end();
-}
-
 bool isRefusedEarly(const GroupOwner &owner, const Request &request, Time now)
 {
     const bool changes = request.kind_ == RequestKind::Write || request.kind_ == RequestKind::Begin;
@@ -149,15 +131,17 @@
 
 void acceptRequest(ProxyState &state, const PeerMessage &message, const ForwardRequest &forward, Time now, Effects &out)
 {
+    // The first copy of a message that arrives twice has its answer. The second would begin another transaction or repeat a step; or the queue, with the first in it, would
+    // refuse the second, and the entry would tell its caller 'not run' while the first runs.
+    if (!noteArrival(state.forwards_[message.from_], forward.id_)) {
+        return;
+    }
     OwnedRequest owned;
     owned.origin_ = {{message.from_, {}, message.fromAddress_, false}, forward.id_};
     owned.request_ = forward.request_;
     owned.acceptedAt_ = now;
     owned.deadline_ = now + forward.request_.timeout_;
     GroupOwner *owner = findOwner(state, forward.request_.group_);
-    if (isRepeated(owner, owned)) {
-        return;
-    }
     if (owner != nullptr && isOutdatedStep(*owner, owned)) {
         // The step is refused below, as one of a transaction that is lost.
         loseTransaction(state, *owner, transactionKeyOf(owned), out);
@@ -181,10 +165,6 @@
     if (verdict.evicted_) {
         evict(state, *owner, *verdict.evicted_, verdict.retryAfter_, out);
     }
-    const auto transaction = owner->requests_.transactions_.find(transactionKeyOf(owned));
-    if (transaction != owner->requests_.transactions_.end()) {
-        transaction->second.lastStep_ = owned.origin_.id_;
-    }
     state.timers_.arm(owned.deadline_, {TimerTopic::OwnerDeadline, owner->config_.id_, ticket.value()});
     owner->requests_.byTicket_.emplace(ticket, std::move(owned));
     wantDispatch(state, *owner);
--- a/src/OwnerRequests.h
+++ b/src/OwnerRequests.h
@@ -71,7 +71,6 @@
     Term term_;
     Time usedAt_;
     bool busy_ = false; ///< A step is under way.
-    RequestId lastStep_; ///< The entry's id of the newest step.
 };
 
 /** All requests of one owned group. */
--- a/src/ProxyState.h
+++ b/src/ProxyState.h
@@ -7,6 +7,7 @@
 #include "ConfigurationSync.h"
 #include "Drain.h"
 #include "Entry.h"
+#include "ForwardWindow.h"
 #include "GroupOwner.h"
 #include "KeyTrim.h"
 #include "Membership.h"
@@ -47,6 +48,7 @@
     std::map<GroupId, GroupOwner> owners_; ///< Groups that this proxy owns, or still finishes work for.
     std::map<ControlId, OutstandingControl> controls_;
     std::map<ConnectionId, GroupId> connections_; ///< Which group a connection belongs to.
+    std::map<VmId, ForwardWindow> forwards_; ///< Requests that came from each entry, this proxy's own among them.
     std::deque<PeerMessage> local_; ///< Messages of this proxy to itself, taken in before the present event ends.
     std::set<GroupId> dirty_; ///< Groups to dispatch before the present event ends.
     std::uint64_t nextId_ = 1; ///< For connections, statements, control calls and probe rounds.
--- a/test/error/MessageArrivesTwice.cpp
+++ b/test/error/MessageArrivesTwice.cpp
@@ -2,8 +2,12 @@
 // run twice inside its transaction, where no idempotency key protects it. The owner drops the second copy without an answer: the first has one.
 #include "support/ScriptedProxy.h"
 
+#include "ForwardWindow.h"
+
 #include <gtest/gtest.h>
 
+#include <set>
+
 using namespace Figward;
 using Figward::Testing::ScriptedProxy;
 
@@ -39,3 +43,46 @@
     proxy.feed(PeerReceived{forwarded(2, RequestKind::Write)});
     EXPECT_TRUE(proxy.takeStatements().empty());
 }
+
+// The queue is as long as the caller's time. The first copy of a write still fits and waits; for the second, which would wait behind the first, there is no time, and the
+// owner once refused it: the entry told its caller that the write had not run, and 25 ms later the first copy ran.
+TEST(MessageArrivesTwice, aWriteThatWaitsIsNotRefusedByItsCopy)
+{
+    ScriptedProxy proxy;
+    GroupOwner &owner = proxy.state_.owners_.begin()->second;
+    owner.queue_.serviceTime_ = std::chrono::seconds(1);
+    const auto write = [](std::uint64_t id) {
+        Request request = ScriptedProxy::write(id, "append k x");
+        request.timeout_ = std::chrono::milliseconds(500);
+        return PeerReceived{{VmId(2), VmId(1), "127.0.0.1:2", ConfigVersion(1), ForwardRequest{RequestId(id), request}}};
+    };
+    for (std::uint64_t id = 1; id <= 40; ++id) {
+        proxy.feed(write(id));
+        proxy.feed(write(id));
+    }
+    std::set<RequestId> refused;
+    for (const Effect &effect : proxy.effects_) {
+        const auto *sent = std::get_if<SendPeer>(&effect);
+        const auto *answer = sent == nullptr ? nullptr : std::get_if<ForwardAnswer>(&sent->message_.body_);
+        if (answer != nullptr && answer->answer_.outcome_ == Outcome::NotRun) {
+            EXPECT_TRUE(refused.insert(answer->id_).second) << "answered twice";
+        }
+    }
+    EXPECT_FALSE(refused.empty()) << "the queue was to be too long";
+    for (const auto &[ticket, owned] : owner.requests_.byTicket_) {
+        EXPECT_FALSE(refused.contains(owned.origin_.id_)) << "told not run, and waits to run";
+    }
+}
+
+TEST(MessageArrivesTwice, isKnownHoweverTheIdsCome)
+{
+    ForwardWindow window;
+    EXPECT_TRUE(noteArrival(window, RequestId(10)));
+    EXPECT_TRUE(noteArrival(window, RequestId(7))) << "overtaken";
+    EXPECT_FALSE(noteArrival(window, RequestId(7)));
+    EXPECT_TRUE(noteArrival(window, RequestId(10 + ForwardWindow::size_)));
+    EXPECT_FALSE(noteArrival(window, RequestId(10))) << "too old to tell";
+    EXPECT_TRUE(noteArrival(window, RequestId(11)));
+    EXPECT_TRUE(noteArrival(window, RequestId(10 + 3 * ForwardWindow::size_)));
+    EXPECT_TRUE(noteArrival(window, RequestId(9 + 3 * ForwardWindow::size_)));
+}
