--- a/src/ForwardWindow.h
+++ b/src/ForwardWindow.h
@@ -13,9 +13,9 @@
 struct ForwardWindow
 {
     /** Requests of one entry that may overtake each other: far more than it has under way at once. */
-    static constexpr std::size_t size_ = 16384;
+    static constexpr std::size_t size = 16384;
     std::uint64_t highest_ = 0;
-    std::bitset<size_> arrived_; ///< By id modulo the size, of the ids up to highest_.
+    std::bitset<size> arrived_; ///< By id modulo the size, of the ids up to highest_.
 };
 
 /** Notes that \p id has arrived. False if it had before, or is so old that it may have. */
--- a/test/error/MessageArrivesTwice.cpp
+++ b/test/error/MessageArrivesTwice.cpp
@@ -80,9 +80,9 @@
     EXPECT_TRUE(noteArrival(window, RequestId(10)));
     EXPECT_TRUE(noteArrival(window, RequestId(7))) << "overtaken";
     EXPECT_FALSE(noteArrival(window, RequestId(7)));
-    EXPECT_TRUE(noteArrival(window, RequestId(10 + ForwardWindow::size_)));
+    EXPECT_TRUE(noteArrival(window, RequestId(10 + ForwardWindow::size)));
     EXPECT_FALSE(noteArrival(window, RequestId(10))) << "too old to tell";
     EXPECT_TRUE(noteArrival(window, RequestId(11)));
-    EXPECT_TRUE(noteArrival(window, RequestId(10 + 3 * ForwardWindow::size_)));
-    EXPECT_TRUE(noteArrival(window, RequestId(9 + 3 * ForwardWindow::size_)));
+    EXPECT_TRUE(noteArrival(window, RequestId(10 + 3 * ForwardWindow::size)));
+    EXPECT_TRUE(noteArrival(window, RequestId(9 + 3 * ForwardWindow::size)));
 }
