Results of the store are named in one place; no residence at a primary that is not named; comments without figures of tuning

While a group's primary is revoked, a VM could note a member without a name as one to stay connected to; nothing came of it but a wasted entry (noVmStaysWithAPrimaryThatIsNotNamed fails without the guard).

--- a/src/ConnectionPlan.cpp
+++ b/src/ConnectionPlan.cpp
@@ -11,15 +11,12 @@
 
 /**
  * A VM whose part is smaller has no share: two for statements, as its transactions, which rest between statements, would take the whole of one, and one for
- * reports on the primary. Without the one for reports, VMs whose shares were just two were refused (24 VMs before 48 connections).
+ * reports on the primary, without which VMs with shares of just two are refused.
  */
 constexpr unsigned smallestPart = 3;
 /** A VM that visits runs at most this many statements and transactions at one member: more than members have slots only wait there. */
 constexpr unsigned mostVisits = 4;
-/**
- * Connections above ordinary load rest this long: with 6 s each VM always held its whole share, and when all VMs lost power members had no room for their
- * return for 3 s. With 1 s, the mean worth of 15 plays of five days with trouble rose from 0.857 to 0.865.
- */
+/** Connections above ordinary load rest this long: with longer rests a VM always holds its whole share, and members have no room for VMs that return from a loss of power. */
 constexpr Duration spareRest = std::chrono::seconds(1);
 /** Of a member's connections, those that may rest after visits: the rest is for statements at work and transactions. */
 constexpr double restingPart = 0.25;
--- a/src/ConnectionPlan.h
+++ b/src/ConnectionPlan.h
@@ -4,8 +4,8 @@
  * It answers two load patterns. With few VMs each has a share, and half of it is for ordinary load: when all VMs lose power at once, members hold the dead
  * connections for seconds, and VMs that start again find room only if the ones before them had left some. With more VMs than a member has connections for, there
  * is no share: a VM keeps one connection to a replica, its home, and some keep one to the primary; beyond these all visit, that is, they open a connection for a
- * statement that waits, and close it when it has rested for a while. With a share of one for each VM the first comers kept all connections, those at a primary mostly for
- * reports, and none of the statements that need the primary was served: at 59 VMs before members of 48 connections, 0.00 of them in their aim.
+ * statement that waits, and close it when it has rested for a while. With a share of one for each VM the first
+ * comers kept all connections, those at a primary mostly for reports, and no statement that needs the primary was served.
  */
 #pragma once
 
@@ -56,7 +56,7 @@
 
 /**
  * How long a connection above the residents' rests after a visit. All VMs are taken to visit as often as this one: they then hold on average as many resting
- * connections as fit beside the residents, however many VMs, slots and openings there are. A time that is right for 59 VMs left no connection at 200.
+ * connections as fit beside the residents, however many VMs there are; a fixed time leaves no connection once they are more.
  */
 Duration visitRest(unsigned limit, unsigned vms, double perSecond);
 
--- a/src/ConnectionSharing.cpp
+++ b/src/ConnectionSharing.cpp
@@ -101,6 +101,9 @@
     if (home && isResident(self, *home, others, replicas, mostResidents(limit))) {
         group.residences_.insert(*home);
     }
+    if (group.authority_.primary_ == MemberId()) {
+        return; // Revoked, and its successor is not named yet.
+    }
     const std::vector<HomeCandidate> primary{{group.authority_.primary_, ZoneId()}};
     if (isResident(self, group.authority_.primary_, others, primary, mostResidents(limit))) {
         group.residences_.insert(group.authority_.primary_);
--- a/src/SessionEvents.h
+++ b/src/SessionEvents.h
@@ -137,6 +137,8 @@
     Unknown, ///< No answer: it may have been done, or may be done later.
     Unreadable, ///< Answered with something that cannot be used.
 };
+/** As metrics and log lines name it. */
+std::string_view toString(StoreResult result);
 /** A configuration and the revision it was read at. */
 struct ConfigurationRead
 {
--- a/src/SessionMetrics.cpp
+++ b/src/SessionMetrics.cpp
@@ -51,27 +51,6 @@
                       request);
 }
 
-std::string resultName(StoreResult result)
-{
-    switch (result) {
-    case StoreResult::Done:
-        return "done";
-    case StoreResult::NotFound:
-        return "not-found";
-    case StoreResult::Conflict:
-        return "conflict";
-    case StoreResult::HistoryGone:
-        return "history-gone";
-    case StoreResult::Refused:
-        return "refused";
-    case StoreResult::Unreadable:
-        return "unreadable";
-    case StoreResult::Unknown:
-        return "unknown";
-    }
-    return "unknown";
-}
-
 prometheus::Gauge &gauge(prometheus::Registry &registry, const char *name, const char *help)
 {
     return BuildGauge().Name(name).Help(help).Register(registry).Add({});
@@ -107,7 +86,7 @@
 void SessionMetrics::observe(const SessionEvent &event)
 {
     if (const auto *answered = std::get_if<StoreAnswered>(&event)) {
-        storeAnswers_.Add({{"result", resultName(answered->result_)}}).Increment();
+        storeAnswers_.Add({{"result", std::string(toString(answered->result_))}}).Increment();
     } else if (const auto *promoted = std::get_if<PromotionAnswered>(&event)) {
         promotions_.Add({{"status", std::to_string(promoted->status_)}}).Increment();
     }
--- a/src/StoreReads.cpp
+++ b/src/StoreReads.cpp
@@ -199,25 +199,6 @@
     acceptWaitingSessions(state, out);
 }
 
-std::string_view outcomeName(StoreResult result)
-{
-    switch (result) {
-    case StoreResult::Done:
-        return "done";
-    case StoreResult::HistoryGone:
-        return "history-gone";
-    case StoreResult::Refused:
-        return "refused";
-    case StoreResult::Unreadable:
-        return "unreadable";
-    case StoreResult::NotFound:
-    case StoreResult::Conflict:
-    case StoreResult::Unknown:
-        break;
-    }
-    return "no answer";
-}
-
 /** Tells of a read that brought a newer configuration, failed, or took long; a watch that ends without a change is none. */
 void tellFetch(const SessionServiceState &sessions, const StoreCallUnderWay &call, const StoreAnswered &answer, Time now, Effects &out)
 {
@@ -238,7 +219,7 @@
                                 : isCheck(*watch) ? "check"
                                                   : "watch"},
                                {"from", call.peer_.empty() ? "store" : call.peer_},
-                               {"outcome", std::string(outcomeName(answer.result_))},
+                               {"outcome", std::string(toString(answer.result_))},
                                {"version", whole ? absl::StrCat(read->configuration_->version_.value()) : "-"},
                                {"bytes", read == nullptr ? "-" : absl::StrCat(read->bytes_)},
                                {"ms", absl::StrCat(toMillis(now - call.sentAt_))}}});
--- a/test/error/SessionConnectionsAreScarce.cpp
+++ b/test/error/SessionConnectionsAreScarce.cpp
@@ -62,6 +62,15 @@
     return day;
 }
 
+/** Each route has its share in aim, and no promise was broken. */
+void expectServed(const Day &day, double aim)
+{
+    EXPECT_GE(day.records_, aim);
+    EXPECT_GE(day.histories_, aim);
+    EXPECT_GE(day.checks_, aim);
+    EXPECT_THAT(day.violations_, IsEmpty());
+}
+
 class ManyVms : public TestWithParam<unsigned>
 {
 };
@@ -73,11 +82,7 @@
 // comers kept theirs, those at the primaries mostly for reports, and 16,488 statements were refused after 980 ms, each while its VM held authority over the primary.
 TEST(SessionConnectionsAreScarce, everyRouteIsServedByFiftyNineVms)
 {
-    const Day day = playDay(59, 1, 3);
-    EXPECT_GE(day.records_, calmAim);
-    EXPECT_GE(day.histories_, calmAim);
-    EXPECT_GE(day.checks_, calmAim);
-    EXPECT_THAT(day.violations_, IsEmpty());
+    expectServed(playDay(59, 1, 3), calmAim);
 }
 
 // The same with the rule of that day, a share of at least one connection for each VM: the load must show what it did to the records, or the test above proves nothing.
@@ -95,22 +100,14 @@
 // records fell to 0.73 in aim at 100 VMs, where 8 VMs serve 0.999.
 TEST_P(ManyVms, serveEveryRouteInARush)
 {
-    const Day day = playDay(GetParam(), rush, 3);
-    EXPECT_GE(day.records_, calmAim);
-    EXPECT_GE(day.histories_, calmAim);
-    EXPECT_GE(day.checks_, calmAim);
-    EXPECT_THAT(day.violations_, IsEmpty());
+    expectServed(playDay(GetParam(), rush, 3), calmAim);
 }
 
 // The same while members have hardly a slot to spare. Few VMs have few connections, so statements wait at the VM, where records go first; behind many VMs they wait
 // at the member, first come first served.
 TEST_P(ManyVms, serveRecordsInARush)
 {
-    const Day day = playDay(GetParam(), nearlyFull, 3);
-    EXPECT_GE(day.records_, fullAim);
-    EXPECT_GE(day.histories_, fullAim);
-    EXPECT_GE(day.checks_, fullAim);
-    EXPECT_THAT(day.violations_, IsEmpty());
+    expectServed(playDay(GetParam(), nearlyFull, 3), fullAim);
 }
 INSTANTIATE_TEST_SUITE_P(SessionConnectionsAreScarce, ManyVms, Values(8U, 16U, 24U, 25U, 59U, 100U));
 
@@ -118,8 +115,5 @@
 // 1 s and 250 ms, right for 77 VMs, no connection was left, and records fell to 0.48 in aim.
 TEST(SessionConnectionsAreScarce, twoHundredVmsServeACalmDay)
 {
-    const Day day = playDay(200, 1, 1);
-    EXPECT_GE(day.records_, fullAim);
-    EXPECT_GE(day.histories_, fullAim);
-    EXPECT_GE(day.checks_, fullAim);
+    expectServed(playDay(200, 1, 1), fullAim);
 }
--- a/test/error/SessionVmsAreMany.cpp
+++ b/test/error/SessionVmsAreMany.cpp
@@ -129,3 +129,23 @@
         EXPECT_TRUE(world.vm(vm).sessions_->configuration_->databases_.contains("added")) << "vm " << vm;
     }
 }
+
+// The primary's process is gone, and the platform does not answer calls for another, so that no primary is named for seconds. VMs that stay connected to the primary then have none to stay connected to; they once noted a member
+// without a name as such.
+TEST(SessionVmsAreMany, noVmStaysWithAPrimaryThatIsNotNamed)
+{
+    SessionWorld world(manyVms());
+    world.run(startTime);
+    world.promotionsDown(true);
+    world.crashMember(0);
+    bool unnamed = false;
+    for (unsigned step = 0; step < 60; ++step) {
+        world.run(std::chrono::milliseconds(50));
+        for (unsigned vm = 0; vm < 24; ++vm) {
+            const SessionGroup &group = world.vm(vm).sessions_->groups_.begin()->second;
+            unnamed = unnamed || group.authority_.primary_ == MemberId();
+            ASSERT_FALSE(group.residences_.contains(MemberId())) << "vm " << vm;
+        }
+    }
+    EXPECT_TRUE(unnamed);
+}
