--- a/test/support/SessionLoad.cpp
+++ b/test/support/SessionLoad.cpp
@@ -165,13 +165,13 @@
     world_.after(retryPause, [this, operation] { begin(operation); });
 }
 
-std::vector<LoadRoute> ledgerLoad(double scale)
+std::vector<LoadRoute> ledgerLoad(double scale, unsigned group)
 {
     using std::chrono::milliseconds;
     return {
-        {"ledger", 36.5 * scale, milliseconds(11), 0.35, 0.25, milliseconds(200), milliseconds(2000)},
-        {"history", 36.5 * scale, milliseconds(55), 0.0, 0.1, milliseconds(800), milliseconds(8000)},
-        {"dispatch", 170.5 * scale, milliseconds(33), 0.12, 0.12, milliseconds(400), milliseconds(2000)},
+        {SessionWorld::databaseOf("ledger", group), 36.5 * scale, milliseconds(11), 0.35, 0.25, milliseconds(200), milliseconds(2000)},
+        {SessionWorld::databaseOf("history", group), 36.5 * scale, milliseconds(55), 0.0, 0.1, milliseconds(800), milliseconds(8000)},
+        {SessionWorld::databaseOf("dispatch", group), 170.5 * scale, milliseconds(33), 0.12, 0.12, milliseconds(400), milliseconds(2000)},
     };
 }
 
--- a/test/support/SessionLoad.h
+++ b/test/support/SessionLoad.h
@@ -72,7 +72,7 @@
     std::map<std::string, LoadCount> counts_;
 };
 
-/** The load of a ledger at \p scale of its usual rates for one group: records with many writes, histories, checks before departure. */
-std::vector<LoadRoute> ledgerLoad(double scale = 1.0);
+/** The load of a ledger at \p scale of its usual rates for \p group: records with many writes, histories, checks before departure. */
+std::vector<LoadRoute> ledgerLoad(double scale = 1.0, unsigned group = 0);
 
 } // namespace Figward::Testing
--- a/test/support/SessionWorld.cpp
+++ b/test/support/SessionWorld.cpp
@@ -12,12 +12,15 @@
 
 namespace {
 
-const ServiceId service("ledger-group");
+ServiceId serviceOf(unsigned group)
+{
+    return ServiceId(group == 0 ? "ledger-group" : absl::StrCat("ledger-group-", group));
+}
 
-DatabaseRoute route(Consistency consistency, Duration timeout, Duration staleness, unsigned priority)
+DatabaseRoute route(unsigned group, Consistency consistency, Duration timeout, Duration staleness, unsigned priority)
 {
     DatabaseRoute route;
-    route.service_ = service;
+    route.service_ = serviceOf(group);
     route.consistency_ = consistency;
     route.statementTimeout_ = timeout;
     route.maxStaleness_ = staleness;
@@ -30,18 +33,23 @@
     SessionConfiguration configuration;
     configuration.version_ = ConfigVersion(3);
     configuration.transactionIdle_ = std::chrono::seconds(3);
-    configuration.databases_["ledger"] = route(Consistency::Primary, std::chrono::seconds(1), {}, 1);
-    configuration.databases_["history"] = route(Consistency::BoundedStaleness, std::chrono::seconds(3), std::chrono::milliseconds(1500), 2);
-    configuration.databases_["dispatch"] = route(Consistency::ReadYourWrites, std::chrono::seconds(1), std::chrono::milliseconds(2500), 2);
-    configuration.services_[service] = ServiceLimits{config.maxConnections_, config.syncReplicas_};
+    for (unsigned group = 0; group < config.groups_; ++group) {
+        const auto add = [&](const std::string &kind, Consistency consistency, Duration timeout, Duration staleness, unsigned priority) {
+            configuration.databases_[SessionWorld::databaseOf(kind, group)] = route(group, consistency, timeout, staleness, priority);
+        };
+        add("ledger", Consistency::Primary, std::chrono::seconds(1), {}, 1);
+        add("history", Consistency::BoundedStaleness, std::chrono::seconds(3), std::chrono::milliseconds(1500), 2);
+        add("dispatch", Consistency::ReadYourWrites, std::chrono::seconds(1), std::chrono::milliseconds(2500), 2);
+        configuration.services_[serviceOf(group)] = ServiceLimits{config.maxConnections_, config.syncReplicas_};
+    }
     return configuration;
 }
 
-std::vector<MemberId> memberIds(unsigned count)
+std::vector<MemberId> memberIds(unsigned group, unsigned count)
 {
     std::vector<MemberId> ids;
     for (unsigned member = 0; member < count; ++member) {
-        ids.push_back(SessionWorld::memberId(member));
+        ids.push_back(SessionWorld::memberId(group * count + member));
     }
     return ids;
 }
@@ -71,14 +79,23 @@
     return MemberId(absl::StrCat("member-", member));
 }
 
+std::string SessionWorld::databaseOf(const std::string &kind, unsigned group)
+{
+    return group == 0 ? kind : absl::StrCat(kind, "-", group);
+}
+
 SessionWorld::SessionWorld(const SessionWorldConfig &config)
     : config_(config)
     , random_(config.seed_)
-    , group_(memberIds(config.members_))
 {
     store_.configuration_ = firstConfiguration(config);
-    for (unsigned member = 0; member < config.members_; ++member) {
-        store_.members_.push_back(DirectoryEntry{memberId(member), service, absl::StrCat(member), ZoneId(zoneName(member)), false, member == 0, 1});
+    for (unsigned group = 0; group < config.groups_; ++group) {
+        groups_.emplace_back(memberIds(group, config.members_));
+        for (unsigned place = 0; place < config.members_; ++place) {
+            const unsigned member = group * config.members_ + place;
+            const ZoneId zone(zoneName(group + place));
+            store_.members_.push_back(DirectoryEntry{memberId(member), serviceOf(group), absl::StrCat(member), zone, false, place == 0, 1});
+        }
     }
     vms_.resize(config.vms_);
     for (unsigned vm = 0; vm < config.vms_; ++vm) {
@@ -140,7 +157,7 @@
 {
     Vm &place = vms_[vm];
     for (const auto &[connection, member] : place.connections_) {
-        group_.disconnect(worldConnection(vm, connection));
+        groupOf(member).disconnect(worldConnection(vm, connection));
     }
     place.state_.reset();
     place.ready_ = false;
@@ -196,10 +213,7 @@
     const std::uint64_t incarnation = vms_[vm].incarnation_;
     const Overloaded handle{
         [&](const OpenConnection &body) { openConnection(vm, body); },
-        [&](const CloseConnection &body) {
-            group_.disconnect(worldConnection(vm, body.connection_));
-            vms_[vm].connections_.erase(body.connection_);
-        },
+        [&](const CloseConnection &body) { disconnect(vm, body.connection_); },
         [&](const ArmWakeUp &body) {
             const std::uint64_t number = ++vms_[vm].wakeUp_;
             schedule(body.at_, [this, vm, number, incarnation] {
@@ -256,6 +270,7 @@
 
 void SessionWorld::sendHeartbeat(unsigned vm, const SendHeartbeat &effect)
 {
+    ++heartbeats_;
     const unsigned to = static_cast<unsigned>(std::stoul(effect.address_));
     schedule(now_ + config_.networkDelay_, [this, vm, to, effect] {
         if (!vmCuts_.contains(std::minmax(vm, to))) {
@@ -304,9 +319,33 @@
     return *vms_[vm].state_;
 }
 
+Standin::LineGroupModel &SessionWorld::groupOf(unsigned member)
+{
+    return groups_[member / config_.members_];
+}
+
+void SessionWorld::disconnect(unsigned vm, ConnectionId connection)
+{
+    const auto found = vms_[vm].connections_.find(connection);
+    if (found != vms_[vm].connections_.end()) {
+        groupOf(found->second).disconnect(worldConnection(vm, connection));
+        vms_[vm].connections_.erase(found);
+    }
+}
+
+std::uint64_t SessionWorld::heartbeats() const
+{
+    return heartbeats_;
+}
+
+const std::map<std::string, std::uint64_t> &SessionWorld::storeCalls() const
+{
+    return storeCalls_;
+}
+
 Standin::LineGroupModel &SessionWorld::group()
 {
-    return group_;
+    return groups_.front();
 }
 
 bool SessionWorld::ready(unsigned vm) const
@@ -319,13 +358,13 @@
     return vms_[vm].state_.has_value();
 }
 
-std::optional<unsigned> SessionWorld::leader() const
+std::optional<unsigned> SessionWorld::leader(unsigned number) const
 {
     for (unsigned vm = 0; vm < vms_.size(); ++vm) {
         if (!vms_[vm].state_) {
             continue;
         }
-        const auto group = vms_[vm].state_->sessions_->groups_.find(service);
+        const auto group = vms_[vm].state_->sessions_->groups_.find(serviceOf(number));
         if (group != vms_[vm].state_->sessions_->groups_.end() && group->second.leader_ && now_ < group->second.leader_->validUntil_) {
             return vm;
         }
--- a/test/support/SessionWorld.h
+++ b/test/support/SessionWorld.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines a world in virtual time for proxies that serve database sessions: VMs, one group of members, the store, clients, and faults between them.
+ * Defines a world in virtual time for proxies that serve database sessions: VMs, groups of members, the store, clients, and faults between them.
  *
  * Every proxy is a real ProxyState driven by reduce(); members are LineGroupModel; the store is a typed model with revisions and conditions. The world
  * checks, as answers come, what clients are promised: violations() lists what was broken.
@@ -24,7 +24,8 @@
 struct SessionWorldConfig
 {
     unsigned vms_ = 4; ///< Over three availability zones in turn.
-    unsigned members_ = 3; ///< One a zone, the first is the primary.
+    unsigned members_ = 3; ///< Of each group; one a zone, the first is the primary.
+    unsigned groups_ = 1;
     unsigned maxConnections_ = 34; ///< By the configuration; members refuse more only if they have slots.
     unsigned slots_ = 0; ///< Openings and statements that a member works on at once, the others in their order; zero: any number.
     Duration openTime_ = std::chrono::milliseconds(12); ///< That an opening takes at the member.
@@ -49,6 +50,7 @@
     unsigned vm_ = 0;
     SessionKey key_;
     std::string database_;
+    unsigned group_ = 0; ///< Of the database.
     std::optional<LogPoint> lastCommit_;
     bool open_ = false;
     bool refused_ = false;
@@ -58,7 +60,7 @@
     std::deque<std::string> unanswered_; ///< Oldest first; statements of a session are answered in their order.
 };
 
-/** The world. VMs are numbered from 0 and named "vm-0" and on; members are "member-0" and on, in zone "zone-0" and on. */
+/** The world. VMs are numbered from 0 and named "vm-0" and on; members are "member-0" and on, those of the first group first, in zone "zone-0" and on. */
 class SessionWorld
 {
 public:
@@ -74,7 +76,10 @@
     void after(Duration delay, std::function<void()> step);
     [[nodiscard]] Time now() const;
 
-    /** Opens a session at \p vm for \p database: "ledger" (primary), "history" (1,500 ms) or "dispatch" (own writes, 2,500 ms). */
+    /**
+     * Opens a session at \p vm for \p database: "ledger" (primary), "history" (1,500 ms) or "dispatch" (own writes, 2,500 ms) of the first group, "ledger-1" and
+     * so on of the others.
+     */
     std::size_t open(unsigned vm, const std::string &database);
     /** Sends a statement; returns its id. */
     std::string send(std::size_t client, StatementKind kind, const std::string &text = {});
@@ -125,11 +130,15 @@
     void freezeStaleReads(bool frozen);
 
     [[nodiscard]] ProxyState &vm(unsigned vm);
+    /** The first group. */
     [[nodiscard]] Standin::LineGroupModel &group();
+    /** Datagrams that VMs have sent, and calls to the store by kind, since the start. */
+    [[nodiscard]] std::uint64_t heartbeats() const;
+    [[nodiscard]] const std::map<std::string, std::uint64_t> &storeCalls() const;
     [[nodiscard]] bool ready(unsigned vm) const;
     [[nodiscard]] bool runs(unsigned vm) const;
     /** The VM that leads the group, if one does. */
-    [[nodiscard]] std::optional<unsigned> leader() const;
+    [[nodiscard]] std::optional<unsigned> leader(unsigned group = 0) const;
     [[nodiscard]] unsigned promotions() const;
     [[nodiscard]] const std::vector<std::string> &violations() const;
     /** When the member last ran a client's statement that was the first of its operation. */
@@ -146,6 +155,8 @@
     void checkLogs();
 
     static MemberId memberId(unsigned member);
+    /** Name of a database of \p group, such as "ledger-1". */
+    static std::string databaseOf(const std::string &kind, unsigned group);
 
 private:
     struct Vm
@@ -187,6 +198,7 @@
     struct Acknowledged
     {
         std::string id_;
+        unsigned group_ = 0;
         LogPoint point_;
         Time at_;
     };
@@ -197,6 +209,9 @@
         Time sent_;
     };
 
+    /** The group that \p member is one of. */
+    Standin::LineGroupModel &groupOf(unsigned member);
+    void disconnect(unsigned vm, ConnectionId connection);
     void schedule(Time at, std::function<void()> step);
     void give(unsigned vm, EventBody body);
     void give(unsigned vm, std::uint64_t incarnation, EventBody body);
@@ -208,7 +223,7 @@
     void openAtBusyMember(unsigned vm, unsigned member, std::uint64_t incarnation, const OpenConnection &effect);
     /** When \p member has done \p work that comes at \p arrives: it takes the slot that is free first. */
     Time workDone(unsigned member, Time arrives, Duration work);
-    [[nodiscard]] bool isFull(unsigned member) const;
+    [[nodiscard]] bool isFull(unsigned member);
     void sendToMember(unsigned vm, const SendToMember &effect);
     void runAtMember(unsigned vm, std::uint64_t incarnation, const SendToMember &effect);
     void loseConnection(unsigned vm, ConnectionId connection);
@@ -231,9 +246,11 @@
     std::mt19937_64 random_;
     Time now_{std::chrono::seconds(1000)};
     std::uint64_t order_ = 0;
+    std::uint64_t heartbeats_ = 0;
+    std::map<std::string, std::uint64_t> storeCalls_;
     std::priority_queue<Scheduled, std::vector<Scheduled>, Later> queue_;
     std::vector<Vm> vms_;
-    Standin::LineGroupModel group_;
+    std::vector<Standin::LineGroupModel> groups_;
     Store store_;
     std::optional<Store> stale_;
     bool storeDown_ = false;
@@ -256,8 +273,8 @@
     std::map<std::size_t, std::string> transactionWrites_; ///< The last of each client's open transaction.
     std::vector<Acknowledged> acknowledged_;
     std::set<std::string> promisedNotRun_;
-    std::uint64_t highestGeneration_ = 0;
-    std::map<std::uint64_t, std::string> holders_; ///< Who promoted, by generation.
+    std::map<ServiceId, std::uint64_t> highestGenerations_;
+    std::map<std::pair<ServiceId, std::uint64_t>, std::string> holders_; ///< Who promoted, by group and generation.
     unsigned promotions_ = 0;
     std::vector<std::string> violations_;
     std::vector<std::pair<LogNumber, std::string>> log_;
--- a/test/support/SessionWorldClients.cpp
+++ b/test/support/SessionWorldClients.cpp
@@ -12,6 +12,8 @@
     client.vm_ = vm;
     client.key_ = SessionKey(clients_.size() + 1);
     client.database_ = database;
+    const std::size_t number = database.find('-');
+    client.group_ = number == std::string::npos ? 0 : static_cast<unsigned>(std::stoul(database.substr(number + 1)));
     clients_.push_back(client);
     give(vm, SessionEvent(SessionOpened{client.key_, database}));
     return clients_.size() - 1;
@@ -93,8 +95,8 @@
 
 WorldClient *SessionWorld::findClient(unsigned vm, SessionKey key)
 {
-    const auto found = std::ranges::find_if(clients_, [&](const WorldClient &client) { return client.vm_ == vm && client.key_ == key && !client.closed_; });
-    return found == clients_.end() ? nullptr : &*found;
+    WorldClient &client = clients_.at(key.value() - 1); // Keys are numbers in the order of opening.
+    return client.vm_ == vm && !client.closed_ ? &client : nullptr;
 }
 
 void SessionWorld::takeAnswer(unsigned vm, const AnswerSession &effect)
@@ -141,8 +143,9 @@
             transactionWrites_.erase(writes);
         }
     }
-    const Standin::LineMember &leader = group_.leader();
-    for (const auto &[member, state] : group_.members()) {
+    const Standin::LineGroupModel &group = groups_[client.group_];
+    const Standin::LineMember &leader = group.leader();
+    for (const auto &[member, state] : group.members()) {
         // An answer comes soon after its commit: only the end of the log can hold it.
         constexpr std::size_t searched = 300;
         const std::size_t first = state.log_.size() > searched ? state.log_.size() - searched : 0;
@@ -154,7 +157,7 @@
             if (state.primary_ && state.term_ < leader.term_ && !Standin::holds(leader.log_, commit.point_)) {
                 violate(absl::StrCat("write ", write, " was acknowledged by the replaced primary ", member.value()));
             }
-            acknowledged_.push_back(Acknowledged{write, commit.point_, now_});
+            acknowledged_.push_back(Acknowledged{write, client.group_, commit.point_, now_});
             client.lastCommit_ = commit.point_;
         }
     }
@@ -164,10 +167,10 @@
 {
     const std::vector<std::string> words = absl::StrSplit(answer.reply_.rows_.front(), ' ');
     const Position seen(std::stoull(words.front()));
-    const Standin::LineMember &leader = group_.leader();
+    const Standin::LineMember &leader = groups_[client.group_].leader();
     const ReadNeed &need = needs_.at(answer.id_);
     for (const Acknowledged &commit : acknowledged_) {
-        if (commit.point_.position_ <= seen) {
+        if (commit.group_ != client.group_ || commit.point_.position_ <= seen) {
             continue;
         }
         const bool before = commit.at_ <= need.sent_;
@@ -195,13 +198,15 @@
 void SessionWorld::checkLogs()
 {
     std::map<std::string, unsigned> runs;
-    for (const Standin::LineCommit &commit : group_.leader().log_) {
-        for (const std::string &statement : commit.statements_) {
-            if (++runs[statement] > 1) {
-                violate(absl::StrCat("write ", statement, " ran twice"));
-            }
-            if (promisedNotRun_.contains(statement)) {
-                violate(absl::StrCat("write ", statement, " ran, though its client was told that it had not"));
+    for (const Standin::LineGroupModel &group : groups_) {
+        for (const Standin::LineCommit &commit : group.leader().log_) {
+            for (const std::string &statement : commit.statements_) {
+                if (++runs[statement] > 1) {
+                    violate(absl::StrCat("write ", statement, " ran twice"));
+                }
+                if (promisedNotRun_.contains(statement)) {
+                    violate(absl::StrCat("write ", statement, " ran, though its client was told that it had not"));
+                }
             }
         }
     }
--- a/test/support/SessionWorldMembers.cpp
+++ b/test/support/SessionWorldMembers.cpp
@@ -5,6 +5,16 @@
 
 namespace Figward::Testing {
 
+namespace {
+
+unsigned numberOf(const MemberId &member)
+{
+    const std::string &name = member.value();
+    return static_cast<unsigned>(std::stoul(name.substr(name.find('-') + 1)));
+}
+
+} // namespace
+
 ConnectionId SessionWorld::worldConnection(unsigned vm, ConnectionId connection) const
 {
     constexpr std::uint64_t perVm = std::uint64_t{1} << 32U;
@@ -14,10 +24,7 @@
 
 void SessionWorld::openConnection(unsigned vm, const OpenConnection &effect)
 {
-    unsigned member = 0;
-    while (memberId(member) != effect.member_) {
-        ++member;
-    }
+    const unsigned member = numberOf(effect.member_);
     vms_[vm].connections_[effect.connection_] = member;
     const std::uint64_t incarnation = vms_[vm].incarnation_;
     if (vmMemberCuts_.contains({vm, member})) {
@@ -38,7 +45,7 @@
             return;
         }
         if (!refuseOpening(vm, member, effect) && !vmMemberCuts_.contains({vm, member})) {
-            group_.connect(worldConnection(vm, effect.connection_), effect.member_);
+            groupOf(member).connect(worldConnection(vm, effect.connection_), effect.member_);
             give(vm, incarnation, ConnectionOpened{effect.connection_});
         }
     });
@@ -46,7 +53,7 @@
 
 bool SessionWorld::refuseOpening(unsigned vm, unsigned member, const OpenConnection &effect)
 {
-    const bool up = group_.member(effect.member_).up_;
+    const bool up = groupOf(member).member(effect.member_).up_;
     if (up && !isFull(member)) {
         return false;
     }
@@ -63,7 +70,7 @@
     if (!isWanted() || refuseOpening(vm, member, effect) || vmMemberCuts_.contains({vm, member})) {
         return;
     }
-    group_.connect(worldConnection(vm, effect.connection_), effect.member_);
+    groupOf(member).connect(worldConnection(vm, effect.connection_), effect.member_);
     schedule(workDone(member, now_, config_.openTime_) + config_.networkDelay_, [this, vm, member, incarnation, effect, isWanted] {
         if (isWanted() && !vmMemberCuts_.contains({vm, member})) {
             give(vm, incarnation, ConnectionOpened{effect.connection_});
@@ -82,10 +89,10 @@
     return *first;
 }
 
-bool SessionWorld::isFull(unsigned member) const
+bool SessionWorld::isFull(unsigned member)
 {
     const bool enforced = config_.slots_ != 0;
-    return fullMembers_.contains(member) || (enforced && group_.connections(memberId(member)) >= config_.maxConnections_);
+    return fullMembers_.contains(member) || (enforced && groupOf(member).connections(memberId(member)) >= config_.maxConnections_);
 }
 
 void SessionWorld::sendToMember(unsigned vm, const SendToMember &effect)
@@ -114,7 +121,7 @@
     if (effect.request_.verb_ == MemberVerb::Forward) {
         lastRuns_[member] = now_;
     }
-    std::optional<Standin::LineAnswer> answer = group_.run(worldConnection(vm, effect.connection_), effect.request_, now_);
+    std::optional<Standin::LineAnswer> answer = groupOf(member).run(worldConnection(vm, effect.connection_), effect.request_, now_);
     if (!answer) {
         return;
     }
@@ -127,7 +134,7 @@
 
 void SessionWorld::crashMember(unsigned member)
 {
-    group_.crash(memberId(member));
+    groupOf(member).crash(memberId(member));
     resetConnections(member);
 }
 
@@ -156,7 +163,7 @@
 
 void SessionWorld::restartMember(unsigned member)
 {
-    group_.restart(memberId(member));
+    groupOf(member).restart(memberId(member));
 }
 
 void SessionWorld::memberLeaves(unsigned member)
@@ -174,15 +181,17 @@
         });
         return;
     }
-    const std::string &holder = holders_.try_emplace(effect.generation_, vms_[vm].name_).first->second;
+    const std::string &holder = holders_.try_emplace({effect.group_, effect.generation_}, vms_[vm].name_).first->second;
     if (holder != vms_[vm].name_) {
         violate(absl::StrCat("two VMs promote with generation ", effect.generation_));
     }
-    if (effect.generation_ < highestGeneration_) {
-        violate(absl::StrCat("a promotion with generation ", effect.generation_, " after ", highestGeneration_));
+    std::uint64_t &highest = highestGenerations_[effect.group_];
+    if (effect.generation_ < highest) {
+        violate(absl::StrCat("a promotion with generation ", effect.generation_, " after ", highest));
     }
-    highestGeneration_ = std::max(highestGeneration_, effect.generation_);
-    const bool running = group_.member(effect.member_).up_;
+    highest = std::max(highest, effect.generation_);
+    Standin::LineGroupModel &group = groupOf(numberOf(effect.member_));
+    const bool running = group.member(effect.member_).up_;
     constexpr unsigned accepted = 200;
     constexpr unsigned notRunning = 409;
     schedule(now_ + 2 * config_.networkDelay_, [this, vm, incarnation, effect, running] {
@@ -190,9 +199,9 @@
     });
     note(absl::StrCat("promotion of ", effect.member_.value(), " asked by ", vm));
     if (running) {
-        schedule(now_ + config_.promotionTime_, [this, effect] {
+        schedule(now_ + config_.promotionTime_, [this, effect, &group] {
             note(absl::StrCat(effect.member_.value(), " leads"));
-            promotions_ += group_.promote(effect.member_, now_) ? 1 : 0;
+            promotions_ += group.promote(effect.member_, now_) ? 1 : 0;
         });
     }
 }
--- a/test/support/SessionWorldStore.cpp
+++ b/test/support/SessionWorldStore.cpp
@@ -8,6 +8,20 @@
 
 constexpr Duration storeTime = std::chrono::milliseconds(4);
 
+std::string kindOf(const StoreRequest &request)
+{
+    const Overloaded handle{
+        [](const ReadConfiguration &) { return "read configuration"; },
+        [](const WatchConfiguration &) { return "watch configuration"; },
+        [](const ReadMembers &) { return "read members"; },
+        [](const ReadVms &) { return "read VMs"; },
+        [](const ReadClaims &) { return "read claims"; },
+        [](const RegisterVm &) { return "register"; },
+        [](const WriteClaim &) { return "write claim"; },
+    };
+    return std::visit(handle, request);
+}
+
 } // namespace
 
 void SessionWorld::garbleEntry(const std::string &name, bool garbled)
@@ -55,6 +69,7 @@
 
 void SessionWorld::callStore(unsigned vm, const StoreCall &call)
 {
+    ++storeCalls_[kindOf(call.request_)];
     const std::uint64_t incarnation = vms_[vm].incarnation_;
     const bool lost = storeDown_ || storeCuts_.contains(vm);
     const bool isWrite = std::holds_alternative<WriteClaim>(call.request_) || std::holds_alternative<RegisterVm>(call.request_);
