A member that did not answer is asked until it does: a VM that was refused or unanswered once no longer stays cut off from it

One refusal as full, or one lost answer, and no statement in the next 1.1 s: the primary counted as lost, 1.5 s later statements for it were refused at once, so none was sent, and nothing was ever learnt of it again. Replicas that were silent once were passed over in the same way, which left their load to the others.

Change: a refusal as full is a sign of life; a member in doubt is asked for a report once a second, on a connection that rests one second where connections are scarce, until it answers.

--- a/src/CutOff.cpp
+++ b/src/CutOff.cpp
@@ -1,6 +1,7 @@
 #include "CutOff.h"
 
 #include "ConnectionSharing.h"
+#include "MemberConnections.h"
 #include "SessionHeartbeats.h"
 
 #include <algorithm>
@@ -113,8 +114,7 @@
         return false;
     }
     const MemberState &member = primary->second;
-    const bool asks = asksPrimary(sessions, group, now);
-    if (!asks && member.openFailures_ == 0 && member.silent_ == 0) {
+    if (!isInDoubt(member) && !asksPrimary(sessions, group, now)) {
         return true; // Nothing was asked of it lately, or all was answered.
     }
     return (member.heard_ && now - *member.heard_ < lostAfter) || (member.refusedAt_ && now - *member.refusedAt_ < lostAfter);
--- a/src/MemberConnections.cpp
+++ b/src/MemberConnections.cpp
@@ -27,6 +27,14 @@
 constexpr Duration releaseTimeout = std::chrono::milliseconds(1500);
 /** Control connections rest this long before they are closed. */
 constexpr Duration controlIdle = std::chrono::seconds(20);
+/** The same where the member has fewer connections than there are VMs: one that rests there for reports is one that no statement has. */
+constexpr Duration scarceControlIdle = std::chrono::seconds(1);
+
+void noteSignOfLife(MemberState &member)
+{
+    member.silent_ = 0;
+    member.unreachable_ = false;
+}
 
 void makeIdle(ProxyState &state, MemberConnection &connection, Time now)
 {
@@ -48,6 +56,13 @@
     member.openAfter_ = now + pause * (1U << doublings);
     ++member.openFailures_;
     member.refusedConnections_ = end == ConnectionEnd::Unreachable;
+    if (end == ConnectionEnd::Refused) {
+        // A member that says that it is full runs, and is reached.
+        member.refusedAt_ = now;
+        noteSignOfLife(member);
+    } else {
+        member.unreachable_ = true;
+    }
 }
 
 /** Says what the connection was for, what this VM holds there, and what it counts as its part: whether it wanted too much, or others hold what it has room for. */
@@ -73,7 +88,7 @@
         return;
     }
     member->heard_ = std::max(member->heard_.value_or(connection.sentAt_), connection.sentAt_);
-    member->silent_ = 0;
+    noteSignOfLife(*member);
     if (replied.report_) {
         member->report_ = replied.report_;
         member->reported_ = connection.sentAt_;
@@ -178,20 +193,31 @@
     case MemberConnectionUse::Releasing:
         return connection.underWay_ && now - connection.sentAt_ > releaseTimeout;
     case MemberConnectionUse::Idle:
-        return connection.isControl_ && now - connection.idleSince_ > controlIdle;
     case MemberConnectionUse::Statement:
         return false; // The statement's own deadline.
     }
     return false;
 }
 
-/** Closes a connection above ordinary load that has rested for long enough. */
+void closeRestingControl(ProxyState &state, const MemberState &member, Duration longest, Time now, Effects &out)
+{
+    const MemberConnection *control = member.control_ ? findConnection(state, *member.control_) : nullptr;
+    if (control != nullptr && control->use_ == MemberConnectionUse::Idle && now - control->idleSince_ > longest) {
+        closeMemberConnection(state, control->id_, out);
+    }
+}
+
+/** Closes a connection above ordinary load that has rested for long enough, and one for reports. */
 void closeSpare(ProxyState &state, MemberState &member, Time now, Effects &out)
 {
-    if (member.idle_.empty()) {
+    if (member.idle_.empty() && !member.control_) {
         return;
     }
     const ConnectionPlan plan = planFor(*state.sessions_, member, now);
+    closeRestingControl(state, member, plan.visits_ ? scarceControlIdle : controlIdle, now, out);
+    if (member.idle_.empty()) {
+        return;
+    }
     if (member.connections_.size() > plan.resting_ && now - findConnection(state, member.idle_.front())->idleSince_ > plan.restTime_) {
         closeMemberConnection(state, member.idle_.front(), out);
     }
@@ -199,6 +225,11 @@
 
 } // namespace
 
+bool isInDoubt(const MemberState &member)
+{
+    return member.silent_ > 0 || member.unreachable_;
+}
+
 MemberConnection *findConnection(ProxyState &state, ConnectionId connection)
 {
     const auto found = state.sessions_->connections_.find(connection);
@@ -235,7 +266,7 @@
     if (MemberState *member = findMember(state, connection->member_)) {
         member->openFailures_ = 0;
         member->refusedConnections_ = false;
-        member->silent_ = 0;
+        noteSignOfLife(*member);
         member->heard_ = std::max(member->heard_.value_or(connection->sentAt_), connection->sentAt_);
     }
     makeIdle(state, *connection, now);
@@ -256,9 +287,6 @@
     MemberState *member = findMember(state, connection.member_);
     if (member != nullptr && connection.use_ == MemberConnectionUse::Opening) {
         noteOpenFailure(state, *member, lost.end_, now);
-        if (lost.end_ == ConnectionEnd::Refused) {
-            member->refusedAt_ = now;
-        }
         tellOpenFailure(*state.sessions_, *member, connection.isControl_, lost.end_, now, out);
     }
     if (connection.session_) {
@@ -381,7 +409,7 @@
     for (const ConnectionId id : silent) {
         const MemberConnection connection = *findConnection(state, id);
         MemberState *member = findMember(state, connection.member_);
-        if (member != nullptr && connection.use_ != MemberConnectionUse::Idle) {
+        if (member != nullptr) {
             ++member->silent_;
             if (connection.use_ == MemberConnectionUse::Opening) {
                 noteOpenFailure(state, *member, ConnectionEnd::Closed, now);
--- a/src/MemberConnections.h
+++ b/src/MemberConnections.h
@@ -31,6 +31,8 @@
 void askStepDown(ProxyState &state, MemberState &member, Term term, Time now, Effects &out);
 /** Closes what has been silent for too long, and connections to members that are gone. */
 void reviewMemberConnections(ProxyState &state, Time now, Effects &out);
+/** Whether the member did not answer what this VM asked of it last: reads go elsewhere, and it is asked for a sign of life until it gives one. */
+bool isInDoubt(const MemberState &member);
 /** The connection of that id, or null. */
 MemberConnection *findConnection(ProxyState &state, ConnectionId connection);
 /** The member of that id, or null. */
--- a/src/SessionService.cpp
+++ b/src/SessionService.cpp
@@ -25,6 +25,8 @@
 /** The primary is asked for a report if it has not answered anything for this long. */
 constexpr Duration probeAfter = std::chrono::milliseconds(300);
 constexpr Duration probeInterval = std::chrono::milliseconds(250);
+/** A member that did not answer is asked this often, by each VM that it did not answer: seldom enough for many VMs together, and once a statement is sent back for it, nothing else asks. */
+constexpr Duration doubtInterval = std::chrono::milliseconds(1000);
 
 /** Notes when the VM is cut off from the rest, and when it no longer is, or for another reason. */
 void reviewCutOff(SessionServiceState &sessions, Time now, Effects &out)
@@ -67,6 +69,20 @@
     askMemberReport(state, *primary, now, out);
 }
 
+/**
+ * Asks the members that did not answer this VM. Statements pass them over, or are refused, so that without these questions a VM never learnt that a member was
+ * well again: it served nothing of the group's primary for the rest of its life, and left a replica's part to the others.
+ */
+void probeDoubted(ProxyState &state, const SessionGroup &group, Time now, Effects &out)
+{
+    for (const MemberId &id : group.members_) {
+        MemberState *member = findMember(state, id);
+        if (member != nullptr && isInDoubt(*member) && now - member->controlAsked_ >= doubtInterval) {
+            askMemberReport(state, *member, now, out);
+        }
+    }
+}
+
 /** Asks members of other zones for a sign of life while no VM there gives one. */
 void probeElsewhere(ProxyState &state, const SessionGroup &group, Time now, Effects &out)
 {
@@ -123,6 +139,7 @@
     if (asksPrimary(*state.sessions_, group, now)) {
         probePrimary(state, group, now, out);
     }
+    probeDoubted(state, group, now, out);
     if (shouldAskElsewhere(*state.sessions_, now)) {
         probeElsewhere(state, group, now, out);
     }
--- a/src/SessionState.h
+++ b/src/SessionState.h
@@ -115,6 +115,7 @@
     Time openAfter_; ///< No new connection before.
     unsigned openFailures_ = 0; ///< In a row.
     bool refusedConnections_ = false; ///< Its process is gone: connections are refused.
+    bool unreachable_ = false; ///< The last opening failed, and not because the member is full.
     unsigned silent_ = 0; ///< Connections in a row that fell silent.
 };
 
--- a/src/StatementDispatch.cpp
+++ b/src/StatementDispatch.cpp
@@ -19,6 +19,8 @@
 
 /** A member that refused a read as lagging is passed over for this long for positions as high. */
 constexpr Duration laggingPause = std::chrono::milliseconds(150);
+/** A member that refused a connection as full is passed over for this long, so that others take its part meanwhile. */
+constexpr Duration fullTime = std::chrono::milliseconds(500);
 /** Clients whose zone is cut off should come back after this: by then new connections are sent to other zones, since readiness is asked for once a second. */
 constexpr Duration otherZonesAfter = std::chrono::milliseconds(2000);
 
@@ -57,7 +59,7 @@
         option.spared_ = primary && policies.sparesPrimary_;
         option.lagging_ =
             policies.pausesLagging_ && !primary && member->laggedBehind_ && floor && *floor >= *member->laggedBehind_ && now - member->laggedAt_ < laggingPause;
-        option.suspect_ = member->silent_ > 0 || member->openFailures_ > 0;
+        option.suspect_ = isInDoubt(*member) || (member->refusedAt_ && now - *member->refusedAt_ < fullTime);
         option.idleConnection_ = !member->idle_.empty();
         const ConnectionPlan plan = planFor(*state.sessions_, *member, now);
         option.visited_ = plan.visits_;
--- a/test/error/SessionVmsAreMany.cpp
+++ b/test/error/SessionVmsAreMany.cpp
@@ -149,3 +149,54 @@
     }
     EXPECT_TRUE(unnamed);
 }
+
+// The primary is full for a moment, and refuses a write of one VM's client. A primary that refuses runs and is reached. The VM once took it for unreachable, sent every statement for it back at once
+// as cut off, and so never found out that it took connections again.
+TEST(SessionVmsAreMany, aPrimaryThatWasFullIsUsedAgain)
+{
+    SessionWorld world(manyVms());
+    world.run(startTime);
+    world.memberIsFull(0, true);
+    const std::size_t client = world.open(7, "ledger");
+    EXPECT_EQ(world.ask(client, StatementKind::Write, "WRITE a 1").code_, ReplyCode::Retry);
+    world.memberIsFull(0, false);
+    world.run(std::chrono::seconds(4));
+    EXPECT_EQ(world.ask(client, StatementKind::Write, "WRITE a 1").code_, ReplyCode::None);
+    EXPECT_THAT(world.violations(), IsEmpty());
+}
+
+// One VM does not reach the primary for two seconds, and a write of its client is not answered. Once the way is free again the VM uses the primary, though nobody asks it to meanwhile: a VM that
+// believed the last failure until a statement showed otherwise, and sent every statement back for it, stayed cut off for the rest of its life.
+TEST(SessionVmsAreMany, aPrimaryThatWasSilentIsUsedAgain)
+{
+    SessionWorld world(manyVms());
+    world.run(startTime);
+    world.cutVmFromMember(7, 0, true);
+    const std::size_t client = world.open(7, "ledger");
+    EXPECT_NE(world.ask(client, StatementKind::Write, "WRITE a 1").code_, ReplyCode::None);
+    world.run(std::chrono::seconds(2));
+    world.cutVmFromMember(7, 0, false);
+    world.run(std::chrono::seconds(3));
+    EXPECT_EQ(world.ask(world.open(7, "ledger"), StatementKind::Write, "WRITE a 1").code_, ReplyCode::None);
+    EXPECT_THAT(world.violations(), IsEmpty());
+}
+
+// A read at a replica is not answered in time. Once the way is free again the replica serves: one that was passed over until it had answered, and was not asked because others answered, left its
+// load to them for good.
+TEST(SessionVmsAreMany, aReplicaThatWasSilentServesAgain)
+{
+    SessionWorld world(manyVms());
+    world.run(startTime);
+    const std::size_t client = world.open(7, "dispatch");
+    ASSERT_EQ(world.ask(client, StatementKind::Read, "READ a").code_, ReplyCode::None);
+    world.cutVmFromMember(7, 1, true);
+    world.ask(client, StatementKind::Read, "READ a");
+    world.run(std::chrono::seconds(2));
+    world.cutVmFromMember(7, 1, false);
+    world.run(std::chrono::seconds(8));
+    const Time before = world.now();
+    for (unsigned round = 0; round < 4; ++round) {
+        EXPECT_EQ(world.ask(client, StatementKind::Read, "READ a").code_, ReplyCode::None);
+    }
+    EXPECT_GT(world.lastRun(1), before);
+}
