--- a/src/ConnectionSharing.cpp
+++ b/src/ConnectionSharing.cpp
@@ -23,9 +23,9 @@
 }
 
 /** Whether this VM has no share of the connections to the group's members, and visits them. */
-bool visits(const SessionServiceState &sessions, const SessionGroup &group, Time now)
+bool visits(const SessionServiceState &sessions, const SessionGroup &group)
 {
-    const bool scarce = sessions.configuration_ && areConnectionsScarce(connectionLimit(sessions, group.id_), countEntryVms(sessions, now));
+    const bool scarce = sessions.configuration_ && areConnectionsScarce(connectionLimit(sessions, group.id_), sessions.entryVms_);
     return scarce && sessions.identity_.policies_.visits_;
 }
 
@@ -64,9 +64,9 @@
     return count;
 }
 
-bool asksPrimary(const SessionServiceState &sessions, const SessionGroup &group, Time now)
+bool asksPrimary(const SessionServiceState &sessions, const SessionGroup &group)
 {
-    return group.leader_ || !visits(sessions, group, now);
+    return group.leader_ || !visits(sessions, group);
 }
 
 ConnectionPlan planFor(const SessionServiceState &sessions, const MemberState &member, Time now)
@@ -75,7 +75,7 @@
     const bool known = group != sessions.groups_.end();
     ConnectionDemand demand;
     demand.limit_ = connectionLimit(sessions, member.entry_.service_);
-    demand.vms_ = countEntryVms(sessions, now);
+    demand.vms_ = sessions.entryVms_;
     demand.resident_ = known && group->second.residences_.contains(member.entry_.id_);
     demand.perSecond_ = usesPerSecond(member.use_, now);
     demand.mayVisit_ = sessions.identity_.policies_.visits_;
@@ -90,7 +90,7 @@
     }
     group.residenceReviewAt_ = now + residenceInterval;
     group.residences_.clear();
-    if (!visits(sessions, group, now)) {
+    if (!visits(sessions, group)) {
         return; // Each VM has a share of each member.
     }
     const HomeSeeker self{sessions.identity_.vm_.incarnation_, sessions.identity_.vm_.zone_};
--- a/src/ConnectionSharing.h
+++ b/src/ConnectionSharing.h
@@ -16,7 +16,7 @@
  * Whether this VM asks the group's primary for reports to know that it lives. Where connections are too few for all VMs, the leader does so for all: a
  * connection of each VM for that alone would take all that a member has.
  */
-bool asksPrimary(const SessionServiceState &sessions, const SessionGroup &group, Time now);
+bool asksPrimary(const SessionServiceState &sessions, const SessionGroup &group);
 /** VMs that share the members' connections: this one, and those that are registered and not known to be gone. */
 unsigned countEntryVms(const SessionServiceState &sessions, Time now);
 
--- a/src/CutOff.cpp
+++ b/src/CutOff.cpp
@@ -114,7 +114,7 @@
         return false;
     }
     const MemberState &member = primary->second;
-    if (!isInDoubt(member) && !asksPrimary(sessions, group, now)) {
+    if (!isInDoubt(member) && !asksPrimary(sessions, group)) {
         return true; // Nothing was asked of it lately, or all was answered.
     }
     return (member.heard_ && now - *member.heard_ < lostAfter) || (member.refusedAt_ && now - *member.refusedAt_ < lostAfter);
--- a/src/GroupLeadership.cpp
+++ b/src/GroupLeadership.cpp
@@ -11,6 +11,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <tuple>
 
 namespace Figward {
 
@@ -30,17 +31,24 @@
 constexpr Duration turnedAwayAfter = std::chrono::milliseconds(600);
 /** An answer to a question asked by another VM counts if that was asked so much later: ages travel by heartbeat, and grow a little on the way. */
 constexpr Duration turnedAwayMargin = std::chrono::milliseconds(150);
-/** Without the leader's word for this long, the store is asked for the claims. */
-constexpr Duration leaderSilence = std::chrono::milliseconds(600);
+/** Where VMs are many, one that starts hears most of the others before it makes the first claim on a group: else those that start first lead, whoever they are. */
+constexpr Duration firstClaimAfter = std::chrono::milliseconds(1200);
+/** A group that nobody has led yet has its first leader by then. */
+constexpr Duration firstLeaderBy = std::chrono::seconds(4);
+/** A VM that is no delegate asks the store only when its authority has so little left: by then its zone's delegates, or a new leader, have renewed it as a rule. */
+constexpr Duration lastAuthority = std::chrono::milliseconds(250);
 
-/** Place of this VM in the order in which VMs claim the group; those in the primary's zone come last, so that a cut zone loses only one of the two. */
+/** Place of this VM in the order in which VMs claim the group: those in the primary's zone come last, so that a cut zone loses only one of the two, delegates first. */
 unsigned claimRank(ProxyState &state, const SessionGroup &group, Time now)
 {
     const SessionServiceState &sessions = *state.sessions_;
     const MemberId primary = group.seenClaim_ ? group.seenClaim_->primary_ : MemberId();
     const MemberState *primaryMember = findMember(state, primary);
     const ZoneId zone = primaryMember != nullptr ? primaryMember->entry_.zone_ : ZoneId();
-    const auto order = [&](const EntryVm &vm) { return std::pair(vm.zone_ != zone, rendezvousWeight(GroupId(group.id_.value()), vm.incarnation_)); };
+    const GroupId key(group.id_.value());
+    const auto order = [&](const EntryVm &vm) {
+        return std::tuple(vm.zone_ != zone, sessions.delegates_.contains(vm.name_), rendezvousWeight(key, vm.incarnation_));
+    };
     const auto mine = order(sessions.identity_.vm_);
     unsigned before = 0;
     for (const auto &[name, peer] : sessions.peers_) {
@@ -99,6 +107,10 @@
     if (group.seenClaim_->revision_ != 0 && !isOver(state, group, now)) {
         return;
     }
+    const bool isFirst = group.seenClaim_->revision_ == 0;
+    if (isFirst && now - state.sessions_->startedAt_ < firstClaimAfter) {
+        return;
+    }
     if (group.claimAfter_ == Time()) {
         group.claimAfter_ = now + claimStep * claimRank(state, group, now);
     }
@@ -228,6 +240,25 @@
     }
 }
 
+/**
+ * Whether this VM asks the store who leads, and what its primary is, since the leader is silent. Where VMs are many, delegates ask for their zones: when each asked by itself,
+ * the store had three calls a second of every VM until the claim of a lost leader was over, 8 s later.
+ */
+bool asksForClaims(const SessionServiceState &sessions, const SessionGroup &group, Time now)
+{
+    const bool silent = group.leaderHeard_ == Time() || now - group.leaderHeard_ > leaderSilence;
+    if (!silent) {
+        return false;
+    }
+    const Duration left = group.authority_.validUntil_ - now;
+    const bool leavesToDelegates = !sessions.delegates_.empty() && !isDelegate(sessions) && sessions.schedule_.claimsRead_;
+    if (!leavesToDelegates) {
+        return left < authorityTime / 2 || !group.seenClaim_;
+    }
+    const bool nobodyLed = group.seenClaim_ && group.seenClaim_->revision_ == 0;
+    return left < lastAuthority && !(nobodyLed && now - sessions.startedAt_ < firstLeaderBy);
+}
+
 } // namespace
 
 void wantClaimWrite(LeaderState &leader)
@@ -242,9 +273,7 @@
         wantClaims(state, now, out);
     }
     if (!group.leader_) {
-        const bool lowAuthority = group.authority_.validUntil_ - now < authorityTime / 2;
-        const bool silent = group.leaderHeard_ == Time() || now - group.leaderHeard_ > leaderSilence;
-        if (silent && (lowAuthority || !group.seenClaim_)) {
+        if (asksForClaims(*state.sessions_, group, now)) {
             wantClaims(state, now, out);
         }
         considerClaim(state, group, now, out);
@@ -272,6 +301,9 @@
 
 void onClaimsRead(ProxyState &state, const std::vector<LeaderClaim> &claims, Time askedAt, Time now, Effects & /*out*/)
 {
+    state.sessions_->schedule_.claimsRead_ = state.sessions_->schedule_.claimsRead_ || state.sessions_->schedule_.registered_;
+    // What a delegate learns of silent leaders goes to its zone at once.
+    state.sessions_->heartbeatNow_ = state.sessions_->heartbeatNow_ || isDelegate(*state.sessions_);
     for (auto &[id, group] : state.sessions_->groups_) {
         if (group.leader_) {
             continue;
--- a/src/HeartbeatPace.cpp
+++ b/src/HeartbeatPace.cpp
@@ -15,8 +15,8 @@
 /** Pairs that speak often though neither leads, for each VM on average: a VM of four zones has at least one in another zone but for one in 400. */
 constexpr unsigned closePeers = 6;
 
-/** Pairs that need no quick word speak once in this time for each VM, so that a VM sends some 50 of these a second however many VMs there are. */
-constexpr Duration seldomForEach = std::chrono::milliseconds(20);
+/** Pairs that need no quick word speak once in this time for each VM, so that a VM sends some 17 of these a second however many VMs there are. */
+constexpr Duration seldomForEach = std::chrono::milliseconds(60);
 
 /** Equal for both VMs of a pair. */
 std::uint64_t pairWeight(VmId a, VmId b)
@@ -33,7 +33,7 @@
 
 Duration heartbeatIntervalOf(const VmPair &pair)
 {
-    if (pair.eitherLeads_ || areAllClose(pair.vms_)) {
+    if (pair.eitherLeads_ || pair.eitherIsDelegate_ || areAllClose(pair.vms_)) {
         return heartbeatInterval;
     }
     const std::uint64_t threshold = std::numeric_limits<std::uint64_t>::max() / pair.vms_ * closePeers;
--- a/src/HeartbeatPace.h
+++ b/src/HeartbeatPace.h
@@ -2,7 +2,7 @@
  * Defines how often two VMs send each other heartbeats, and about which groups.
  *
  * It answers the load pattern of many VMs: from all to all, the datagrams grow with the square of their number (23,400 a second at 77 VMs, by
- * count). What must be quick passes between a group's leader and the others; pairs without a leader
+ * count). What must be quick passes between a group's leader and the others, and between the delegates of a zone and its VMs; other pairs
  * only need to know that the other lives, and a few pairs, spread at random over the availability zones, show a cut though no leader is near.
  */
 #pragma once
@@ -21,6 +21,7 @@
     VmId peer_;
     unsigned vms_ = 2; ///< All that are known.
     bool eitherLeads_ = false; ///< Some group.
+    bool eitherIsDelegate_ = false; ///< Of the availability zone of both.
 };
 
 /** Whether all VMs exchange all they know: few enough for that to cost little. */
--- a/src/MemberConnections.cpp
+++ b/src/MemberConnections.cpp
@@ -78,7 +78,7 @@
                                {"idle", absl::StrCat(member.idle_.size())},
                                {"reports", member.control_ ? "1" : "0"},
                                {"allowed", known ? absl::StrCat(planFor(sessions, member, now).most_) : "-"},
-                               {"vms", absl::StrCat(countEntryVms(sessions, now))}}});
+                               {"vms", absl::StrCat(sessions.entryVms_)}}});
 }
 
 void noteReply(ProxyState &state, const MemberConnection &connection, const MemberReplyArrived &replied, Time now)
--- a/src/PrimaryReplacement.cpp
+++ b/src/PrimaryReplacement.cpp
@@ -166,8 +166,10 @@
         if (!peer.registered_ && !peer.heard_) {
             continue;
         }
+        // The word of a process does not count for the one that has started in its place since.
+        const bool startedAgain = peer.registered_ && peer.listed_ != VmId(0) && peer.heard_ && peer.listed_ != peer.vm_.incarnation_;
         const auto beat = peer.groups_.find(group.id_);
-        if (beat == peer.groups_.end() || beat->second.epoch_ < group.leader_->claim_.epoch_) {
+        if (startedAgain || beat == peer.groups_.end() || beat->second.epoch_ < group.leader_->claim_.epoch_) {
             return false;
         }
     }
--- a/src/SessionEvents.h
+++ b/src/SessionEvents.h
@@ -44,9 +44,11 @@
     std::optional<Duration> primaryHeard_; ///< How long ago the primary of this epoch last answered the sender.
     std::optional<LogPoint> sample_; ///< Position of the primary, read under authority.
     Duration sampleAge_{}; ///< Since the statement that the position came with was sent.
-    bool leads_ = false; ///< The sender is the leader; the fields below are its word.
+    bool leads_ = false; ///< The sender is the leader; the fields below but for authorityAge_ are its word.
     std::uint64_t generation_ = 0;
     ClaimPhase phase_ = ClaimPhase::Replacing;
+    std::optional<Duration>
+        authorityAge_; ///< The sender passes on its authority over the primary below, which counts from so long ago; only for the word of a silent leader.
     MemberId primary_;
     Term term_;
     Duration claimLeft_{}; ///< Time for which the leader relies on its claim.
--- a/src/SessionHeartbeats.cpp
+++ b/src/SessionHeartbeats.cpp
@@ -1,5 +1,6 @@
 #include "SessionHeartbeats.h"
 
+#include "Delegates.h"
 #include "GroupLeadership.h"
 #include "MemberConnections.h"
 #include "PrimaryReplacement.h"
@@ -18,6 +19,8 @@
 
 /** Peers that are due are looked for this often; with the service's own review every 50 ms, an interval is met within that. */
 constexpr Duration heartbeatStep = std::chrono::milliseconds(50);
+/** VMs come and go; a delegate that has gone is replaced by the next after about this long. */
+constexpr Duration delegatesInterval = std::chrono::milliseconds(500);
 /** VMs that the store does not list and that were silent for longer are sent nothing more. */
 constexpr Duration longSilence = std::chrono::seconds(20);
 
@@ -39,6 +42,12 @@
         beat.sample_ = sample->position_;
         beat.sampleAge_ = now - sample->sentAt_;
     }
+    const bool leaderIsSilent = now - group.leaderHeard_ > leaderSilence;
+    if (!leads && leaderIsSilent && isDelegate(*state.sessions_) && holdsAuthority(group.authority_, now)) {
+        beat.authorityAge_ = now - (group.authority_.validUntil_ - authorityTime);
+        beat.primary_ = group.authority_.primary_;
+        beat.term_ = group.authority_.term_;
+    }
     if (leads) {
         const LeaderState &leader = *group.leader_;
         beat.leads_ = true;
@@ -80,13 +89,15 @@
     return beat != peer.groups_.end() && beat->second.leads_;
 }
 
-/** Groups that \p peer is told of: those that it or this VM leads, or all while VMs are few. */
+/** Groups that \p peer is told of: those that it or this VM leads, those whose leader is silent if it is of the zone that this VM is a delegate of, or all while VMs are few. */
 void addGroups(VmHeartbeat &heartbeat, const PeerVm &peer, const std::vector<GroupHeartbeat> &groups, bool all)
 {
+    const bool ownZone = peer.vm_.zone_ == heartbeat.zone_;
     heartbeat.groups_.clear();
     for (const GroupHeartbeat &beat : groups) {
         const bool resigned = beat.resigned_ != 0 && heartbeat.interval_ == heartbeatInterval;
-        if (all || beat.leads_ || leads(peer, beat.group_) || resigned) {
+        const bool passesOn = beat.authorityAge_ && ownZone;
+        if (all || beat.leads_ || leads(peer, beat.group_) || resigned || passesOn) {
             heartbeat.groups_.push_back(beat);
         }
     }
@@ -112,6 +123,15 @@
     peer.leads_ = std::ranges::any_of(heartbeat.groups_, &GroupHeartbeat::leads_);
 }
 
+/** The VM is sent a heartbeat before the present event ends. */
+void sendSoon(SessionServiceState &sessions, PeerVm &peer)
+{
+    if (!peer.sendNow_) {
+        peer.sendNow_ = true;
+        sessions.awaited_.push_back(peer.vm_.name_);
+    }
+}
+
 /** Takes the sender's place among the known VMs, unless a later heartbeat has overtaken this one. */
 void notePeer(ProxyState &state, const VmHeartbeat &heartbeat, Time now, Effects &out)
 {
@@ -132,8 +152,12 @@
     peer.configuration_ = heartbeat.configuration_;
     peer.leaving_ = heartbeat.leaving_;
     peer.itsInterval_ = heartbeat.interval_;
+    const bool led = peer.leads_;
     noteGroups(peer, heartbeat);
-    peer.sendNow_ = peer.sendNow_ || unknown || heartbeat.answerNow_;
+    // A new leader can renew this VM's authority only once it has heard from it.
+    if (unknown || heartbeat.answerNow_ || (peer.leads_ && !led)) {
+        sendSoon(*state.sessions_, peer);
+    }
 }
 
 void takeLeaderWord(SessionGroup &group, const VmHeartbeat &heartbeat, const GroupHeartbeat &beat, bool echoed, Time now)
@@ -165,6 +189,11 @@
     if (beat.leads_) {
         takeLeaderWord(*group, heartbeat, beat, echoed, now);
     }
+    // A VM that the store has not listed, or that has not read the claims since, might take an authority that a leader which revokes it does not know of.
+    const StoreSchedule &schedule = state.sessions_->schedule_;
+    if (beat.authorityAge_ && echoed && schedule.registered_ && schedule.claimsRead_) {
+        renewAuthority(group->authority_, beat.epoch_, beat.primary_, beat.term_, heartbeat.echo_ - *beat.authorityAge_);
+    }
     if (group->authority_.epoch_ != epochBefore) {
         state.sessions_->heartbeatNow_ = true; // The leader waits for this VM's word.
     }
@@ -174,6 +203,39 @@
     }
 }
 
+/** What the heartbeats that are sent at one moment have in common. */
+struct HeartbeatRound
+{
+    VmHeartbeat heartbeat_;
+    std::vector<GroupHeartbeat> groups_;
+    bool leadsAny_ = false; ///< This VM leads some group.
+    bool toClose_ = false; ///< All close VMs get one.
+};
+
+void sendIfDue(const SessionServiceState &sessions, PeerVm &peer, HeartbeatRound &round, Time now, Effects &out)
+{
+    if (!isSpokenTo(peer, now)) {
+        return;
+    }
+    const auto vms = static_cast<unsigned>(sessions.peers_.size() + 1);
+    VmPair pair{sessions.identity_.vm_.incarnation_, peer.vm_.incarnation_, vms};
+    pair.eitherLeads_ = round.leadsAny_ || peer.leads_;
+    pair.eitherIsDelegate_ = peer.vm_.zone_ == sessions.identity_.vm_.zone_ && (isDelegate(sessions) || sessions.delegates_.contains(peer.vm_.name_));
+    VmHeartbeat &heartbeat = round.heartbeat_;
+    heartbeat.interval_ = heartbeatIntervalOf(pair);
+    const bool isClose = heartbeat.interval_ == heartbeatInterval;
+    const bool due = !peer.sentTo_ || now - *peer.sentTo_ >= heartbeat.interval_;
+    if (!due && !peer.sendNow_ && !(round.toClose_ && isClose)) {
+        return;
+    }
+    peer.sentTo_ = now;
+    peer.sendNow_ = false;
+    heartbeat.echo_ = peer.itsClock_;
+    heartbeat.echoOf_ = peer.vm_.incarnation_;
+    addGroups(heartbeat, peer, round.groups_, areAllClose(vms));
+    out.emplace_back(SessionEffect(SendHeartbeat{peer.vm_.address_, heartbeat}));
+}
+
 /** Tells of each newer version once. */
 void noteNewerHeard(ProxyState &state, const VmHeartbeat &heartbeat, ConfigVersion mine, Effects &out)
 {
@@ -187,6 +249,32 @@
 
 } // namespace
 
+bool isDelegate(const SessionServiceState &sessions)
+{
+    return sessions.delegates_.contains(sessions.identity_.vm_.name_);
+}
+
+void reviewDelegates(SessionServiceState &sessions, Time now)
+{
+    if (now < sessions.delegatesReviewAt_) {
+        return;
+    }
+    sessions.delegatesReviewAt_ = now + delegatesInterval;
+    sessions.delegates_.clear();
+    if (areAllClose(static_cast<unsigned>(sessions.peers_.size() + 1))) {
+        return;
+    }
+    std::vector<DelegateCandidate> candidates{{sessions.identity_.vm_.name_, sessions.identity_.vm_.zone_}};
+    std::set<ZoneId> zones{sessions.identity_.vm_.zone_};
+    for (const auto &[name, peer] : sessions.peers_) {
+        if (isFresh(peer, now) && !peer.leaving_) {
+            candidates.push_back({name, peer.vm_.zone_});
+            zones.insert(peer.vm_.zone_);
+        }
+    }
+    sessions.delegates_ = chooseDelegates(candidates, delegatesPerZone(sessions.groups_.size(), zones.size()));
+}
+
 bool isFresh(const PeerVm &peer, Time now)
 {
     return peer.heard_ && now - *peer.heard_ < peerSilence + (peer.itsInterval_ - heartbeatInterval);
@@ -219,34 +307,30 @@
 {
     SessionServiceState &sessions = *state.sessions_;
     const bool toClose = std::exchange(sessions.heartbeatNow_, false);
-    const bool anyWaits = std::ranges::any_of(sessions.peers_, [](const auto &entry) { return entry.second.sendNow_; });
-    if (!toClose && !anyWaits && now < sessions.heartbeatsReviewAt_) {
+    const std::vector<std::string> awaited = std::exchange(sessions.awaited_, {});
+    const bool toAll = toClose || now >= sessions.heartbeatsReviewAt_;
+    if (!toAll && awaited.empty()) {
         return;
     }
-    sessions.heartbeatsReviewAt_ = now + heartbeatStep;
-    const auto vms = static_cast<unsigned>(sessions.peers_.size() + 1);
-    std::vector<GroupHeartbeat> groups;
+    HeartbeatRound round;
     for (const auto &[id, group] : sessions.groups_) {
-        groups.push_back(describe(state, group, now));
+        round.groups_.push_back(describe(state, group, now));
     }
-    const bool leadsAny = std::ranges::any_of(groups, &GroupHeartbeat::leads_);
-    VmHeartbeat heartbeat = makeHeartbeat(sessions, now);
-    for (auto &[name, peer] : sessions.peers_) {
-        if (!isSpokenTo(peer, now)) {
-            continue;
+    round.leadsAny_ = std::ranges::any_of(round.groups_, &GroupHeartbeat::leads_);
+    round.toClose_ = toClose;
+    round.heartbeat_ = makeHeartbeat(sessions, now);
+    if (toAll) {
+        sessions.heartbeatsReviewAt_ = now + heartbeatStep;
+        for (auto &[name, peer] : sessions.peers_) {
+            sendIfDue(sessions, peer, round, now, out);
         }
-        heartbeat.interval_ = heartbeatIntervalOf({sessions.identity_.vm_.incarnation_, peer.vm_.incarnation_, vms, leadsAny || peer.leads_});
-        const bool isClose = heartbeat.interval_ == heartbeatInterval;
-        const bool due = !peer.sentTo_ || now - *peer.sentTo_ >= heartbeat.interval_;
-        if (!due && !peer.sendNow_ && !(toClose && isClose)) {
-            continue;
+        return;
+    }
+    for (const std::string &name : awaited) {
+        const auto peer = sessions.peers_.find(name);
+        if (peer != sessions.peers_.end()) {
+            sendIfDue(sessions, peer->second, round, now, out);
         }
-        peer.sentTo_ = now;
-        peer.sendNow_ = false;
-        heartbeat.echo_ = peer.itsClock_;
-        heartbeat.echoOf_ = peer.vm_.incarnation_;
-        addGroups(heartbeat, peer, groups, areAllClose(vms));
-        out.emplace_back(SessionEffect(SendHeartbeat{peer.vm_.address_, heartbeat}));
     }
 }
 
--- a/src/SessionHeartbeats.h
+++ b/src/SessionHeartbeats.h
@@ -13,10 +13,17 @@
 /** A VM that was silent for this long is taken as unreachable. */
 constexpr Duration peerSilence = std::chrono::milliseconds(1000);
 
+/** Without the leader's word for this long, the store is asked for the claims. */
+constexpr Duration leaderSilence = std::chrono::milliseconds(600);
+
 /** Takes in a heartbeat. */
 void onHeartbeatReceived(ProxyState &state, const VmHeartbeat &heartbeat, Time now, Effects &out);
 /** Sends heartbeats to all known VMs if they are due, or wanted at once. */
 void sendHeartbeats(ProxyState &state, Time now, Effects &out);
+/** Chooses anew which VMs are delegates, if that is due; see SessionServiceState::delegates_. */
+void reviewDelegates(SessionServiceState &sessions, Time now);
+/** Whether this VM is a delegate of its zone; never while VMs are few. */
+bool isDelegate(const SessionServiceState &sessions);
 /** Whether \p peer was heard lately. */
 bool isFresh(const PeerVm &peer, Time now);
 
--- a/src/SessionService.cpp
+++ b/src/SessionService.cpp
@@ -136,7 +136,7 @@
     }
     reviewResidences(*state.sessions_, group, now);
     reviewLeadership(state, group, now, out);
-    if (asksPrimary(*state.sessions_, group, now)) {
+    if (asksPrimary(*state.sessions_, group)) {
         probePrimary(state, group, now, out);
     }
     probeDoubted(state, group, now, out);
@@ -149,6 +149,8 @@
 
 void review(ProxyState &state, Time now, Effects &out)
 {
+    state.sessions_->entryVms_ = countEntryVms(*state.sessions_, now);
+    reviewDelegates(*state.sessions_, now);
     reviewStoreReads(state, now, out);
     reviewDirectory(state, now, out);
     for (auto &[id, group] : state.sessions_->groups_) {
--- a/src/SessionState.h
+++ b/src/SessionState.h
@@ -183,6 +183,7 @@
 {
     EntryVm vm_;
     bool registered_ = false; ///< The store lists it.
+    VmId listed_; ///< The incarnation that the store lists.
     std::uint64_t revision_ = 0;
     std::optional<Time> heard_;
     Time itsClock_; ///< When it sent the newest heartbeat that came.
@@ -226,6 +227,7 @@
     Time claimsAt_;
     Time registerAt_;
     bool registered_ = false;
+    bool claimsRead_ = false; ///< Since this VM is registered.
     std::optional<CallId> members_;
     std::optional<CallId> configuration_;
     std::optional<CallId> watch_;
@@ -278,6 +280,11 @@
     StoreSchedule schedule_;
     Time heartbeatsReviewAt_; ///< No heartbeat is due before, but for those wanted at once.
     bool heartbeatNow_ = false;
+    std::set<std::string> delegates_; ///< Names of the delegates of all zones where VMs are many, this one among them; see Delegates.h.
+    Time delegatesReviewAt_; ///< They are not chosen anew before.
+    std::vector<std::string> awaited_; ///< Names of VMs that wait for a heartbeat; see PeerVm::sendNow_.
+    unsigned entryVms_ =
+        1; ///< VMs that share the members' connections, by the last review; counted for each statement, the walk over all VMs took most of a VM's processor time.
     Time startedAt_;
     OutageHistory outages_; ///< Of primaries that were replaced, of all groups.
     std::optional<bool> ready_;
--- a/src/StoreReads.cpp
+++ b/src/StoreReads.cpp
@@ -49,6 +49,8 @@
 /** Until other VMs are known, the list is read this often. */
 constexpr Duration firstVmInterval = std::chrono::milliseconds(1000);
 constexpr Duration claimInterval = std::chrono::milliseconds(350);
+/** The same where VMs are many, of those that are no delegates. */
+constexpr Duration seldomClaimInterval = std::chrono::milliseconds(1000);
 /** A read of the configuration that takes longer is told: on a link that is not busy even a large one takes about a second. */
 constexpr Duration slowFetch = std::chrono::milliseconds(1000);
 /** Pause after a call that failed. */
@@ -238,6 +240,7 @@
         }
         PeerVm &peer = sessions.peers_[vm.name_];
         peer.registered_ = true;
+        peer.listed_ = vm.incarnation_;
         if (!peer.heard_) {
             peer.vm_.address_ = vm.address_;
             peer.vm_.zone_ = vm.zone_;
@@ -384,7 +387,9 @@
 {
     StoreSchedule &schedule = state.sessions_->schedule_;
     if (isDue(schedule.claims_, schedule.claimsAt_, now)) {
-        schedule.claimsAt_ = now + claimInterval;
+        const SessionServiceState &sessions = *state.sessions_;
+        const bool asksSeldom = !areAllClose(static_cast<unsigned>(sessions.peers_.size() + 1)) && !isDelegate(sessions);
+        schedule.claimsAt_ = now + (asksSeldom ? seldomClaimInterval : claimInterval);
         schedule.claims_ = callStore(state, ReadClaims{}, now, out);
     }
 }
--- a/src/WireHeartbeat.cpp
+++ b/src/WireHeartbeat.cpp
@@ -29,6 +29,11 @@
         out.set_sample_age(micros(group.sampleAge_));
     }
     out.set_resigned(group.resigned_);
+    if (group.authorityAge_) {
+        out.set_authority_age(micros(*group.authorityAge_) + 1);
+        out.set_primary(group.primary_.value());
+        out.set_term(group.term_.value());
+    }
     if (!group.leads_) {
         return;
     }
@@ -61,6 +66,9 @@
     group.claimLeft_ = duration(in.claim_left());
     group.renewals_ = in.renewals();
     group.resigned_ = in.resigned();
+    if (in.authority_age() != 0) {
+        group.authorityAge_ = duration(in.authority_age() - 1);
+    }
     return group;
 }
 
