A fleet that starts is told of in a few lines: the log does not grow with the square of the VMs

Each VM wrote a line for each other VM that it heard: 2,282 of 4,500 lines of eleven VMs in 17 s at 295 VMs, and lines of statements were dropped for them. More than twelve in half a second are now told by one line, 307.

Test: aFleetThatStartsIsToldOfInAFewLines; it fails on the code before by construction, which writes 3,540 lines for 900 allowed (not run there).

--- a/src/LogEvents.h
+++ b/src/LogEvents.h
@@ -39,6 +39,7 @@
     VmSeen = 304,
     VmCutOff = 305,
     VmRejoined = 306,
+    VmsSeen = 307,
     MemberSuspected = 401,
     FailoverStarted = 402,
     PrimaryPromoted = 403,
--- a/src/SessionHeartbeats.cpp
+++ b/src/SessionHeartbeats.cpp
@@ -19,6 +19,9 @@
 
 /** Peers that are due are looked for this often; with the service's own review every 50 ms, an interval is met within that. */
 constexpr Duration heartbeatStep = std::chrono::milliseconds(50);
+/** New VMs are told of this often, each by a line of its own; of more than these one line tells, or a fleet that starts would write as many lines as it has pairs of VMs. */
+constexpr Duration newVmsInterval = std::chrono::milliseconds(500);
+constexpr std::size_t mostNamed = 12;
 /** VMs come and go; a delegate that has gone is replaced by the next after about this long. */
 constexpr Duration delegatesInterval = std::chrono::milliseconds(500);
 /** VMs that the store does not list and that were silent for longer are sent nothing more. */
@@ -133,7 +136,7 @@
 }
 
 /** Takes the sender's place among the known VMs, unless a later heartbeat has overtaken this one. */
-void notePeer(ProxyState &state, const VmHeartbeat &heartbeat, Time now, Effects &out)
+void notePeer(ProxyState &state, const VmHeartbeat &heartbeat, Time now)
 {
     PeerVm &peer = state.sessions_->peers_[heartbeat.name_];
     const bool unknown = peer.vm_.incarnation_ != heartbeat.from_;
@@ -141,8 +144,7 @@
         return; // The later one said more.
     }
     if (unknown) {
-        out.emplace_back(
-            WriteLog{LogNumber::VmSeen, {{"vm", heartbeat.name_}, {"incarnation", absl::StrCat(heartbeat.from_.value())}, {"address", heartbeat.address_}}});
+        state.sessions_->newVms_.push_back(heartbeat.name_);
         peer.groups_.clear();
     }
     peer.vm_ = EntryVm{heartbeat.name_, heartbeat.from_, heartbeat.address_, heartbeat.zone_};
@@ -275,6 +277,24 @@
     sessions.delegates_ = chooseDelegates(candidates, leadersPerZone(sessions.groups_.size(), zones.size()));
 }
 
+void tellNewVms(SessionServiceState &sessions, Time now, Effects &out)
+{
+    if (sessions.newVms_.empty() || now < sessions.newVmsToldAt_ + newVmsInterval) {
+        return;
+    }
+    sessions.newVmsToldAt_ = now;
+    const std::vector<std::string> names = std::exchange(sessions.newVms_, {});
+    if (names.size() > mostNamed) {
+        out.emplace_back(
+            WriteLog{LogNumber::VmsSeen, {{"count", absl::StrCat(names.size())}, {"first", names.front()}, {"known", absl::StrCat(sessions.peers_.size())}}});
+        return;
+    }
+    for (const std::string &name : names) {
+        const EntryVm &vm = sessions.peers_.at(name).vm_;
+        out.emplace_back(WriteLog{LogNumber::VmSeen, {{"vm", name}, {"incarnation", absl::StrCat(vm.incarnation_.value())}, {"address", vm.address_}}});
+    }
+}
+
 bool isFresh(const PeerVm &peer, Time now)
 {
     return peer.heard_ && now - *peer.heard_ < peerSilence + (peer.itsInterval_ - heartbeatInterval);
@@ -286,7 +306,7 @@
     if (heartbeat.name_ == self.name_) {
         return;
     }
-    notePeer(state, heartbeat, now, out);
+    notePeer(state, heartbeat, now);
     for (const GroupHeartbeat &beat : heartbeat.groups_) {
         takeGroup(state, heartbeat, beat, now);
     }
--- a/src/SessionHeartbeats.h
+++ b/src/SessionHeartbeats.h
@@ -22,6 +22,8 @@
 void sendHeartbeats(ProxyState &state, Time now, Effects &out);
 /** Chooses anew which VMs are delegates, if that is due; see SessionServiceState::delegates_. */
 void reviewDelegates(SessionServiceState &sessions, Time now);
+/** Tells of VMs that were heard for the first time, if that is due. */
+void tellNewVms(SessionServiceState &sessions, Time now, Effects &out);
 /** Whether this VM is a delegate of its zone; never while VMs are few. */
 bool isDelegate(const SessionServiceState &sessions);
 /** Whether \p peer was heard lately. */
--- a/src/SessionService.cpp
+++ b/src/SessionService.cpp
@@ -151,6 +151,7 @@
 {
     state.sessions_->entryVms_ = countEntryVms(*state.sessions_, now);
     reviewDelegates(*state.sessions_, now);
+    tellNewVms(*state.sessions_, now, out);
     reviewStoreReads(state, now, out);
     reviewDirectory(state, now, out);
     for (auto &[id, group] : state.sessions_->groups_) {
--- a/src/SessionState.h
+++ b/src/SessionState.h
@@ -284,6 +284,8 @@
     std::map<std::string, DelegateRole> delegates_; ///< By name, the delegates of all zones where VMs are many, this one among them; see Delegates.h.
     Time delegatesReviewAt_; ///< They are not chosen anew before.
     std::vector<std::string> awaited_; ///< Names of VMs that wait for a heartbeat; see PeerVm::sendNow_.
+    std::vector<std::string> newVms_; ///< Names of VMs that were heard first, or first after they started again, and not told of yet.
+    Time newVmsToldAt_;
     unsigned entryVms_ =
         1; ///< VMs that share the members' connections, by the last review; counted for each statement, the walk over all VMs took most of a VM's processor time.
     Time startedAt_;
--- a/test/error/SessionVmsAreMany.cpp
+++ b/test/error/SessionVmsAreMany.cpp
@@ -200,3 +200,14 @@
     }
     EXPECT_GT(world.lastRun(1), before);
 }
+
+// 60 VMs start at once, and each hears of all others. Guards against a line for each VM at each VM, 3,500 of them within a second, for which lines of statements were dropped.
+TEST(SessionVmsAreMany, aFleetThatStartsIsToldOfInAFewLines)
+{
+    SessionWorldConfig config;
+    config.vms_ = 60;
+    SessionWorld world(config);
+    world.run(startTime);
+    EXPECT_LT(world.logged(LogNumber::VmSeen).size() + world.logged(LogNumber::VmsSeen).size(), 60U * 15U);
+    EXPECT_THAT(world.logged(LogNumber::VmsSeen), Not(IsEmpty()));
+}
