--- a/src/Delegates.h
+++ b/src/Delegates.h
@@ -1,8 +1,8 @@
 /** \file
  * Defines the delegates of an availability zone: the few VMs that lead groups first, and that ask the store for their zone while a leader is silent.
  *
- * They answer the load pattern of many VMs. With leaders anywhere, each of 20 leaders exchanged heartbeats with all others four times a second, and when one fell
- * silent every VM asked the store itself, three times a second, until another led. With delegates, leaders are few VMs, and a zone asks the store through them.
+ * They answer the load pattern of many VMs. A leader exchanges heartbeats with all of them several times a second: with leaders anywhere, nearly all pairs of VMs do.
+ * When a leader fell silent every VM asked the store itself until another led. With delegates, leaders are few VMs, and a zone asks the store through them.
  */
 #pragma once
 
--- a/src/SessionEvents.h
+++ b/src/SessionEvents.h
@@ -47,8 +47,7 @@
     bool leads_ = false; ///< The sender is the leader; the fields below but for authorityAge_ are its word.
     std::uint64_t generation_ = 0;
     ClaimPhase phase_ = ClaimPhase::Replacing;
-    std::optional<Duration>
-        authorityAge_; ///< The sender passes on its authority over the primary below, which counts from so long ago; only for the word of a silent leader.
+    std::optional<Duration> authorityAge_; ///< While its leader is silent: since when the sender's authority over the primary below counts, passed on.
     MemberId primary_;
     Term term_;
     Duration claimLeft_{}; ///< Time for which the leader relies on its claim.
--- a/src/SessionState.h
+++ b/src/SessionState.h
@@ -286,8 +286,7 @@
     std::vector<std::string> awaited_; ///< Names of VMs that wait for a heartbeat; see PeerVm::sendNow_.
     std::vector<std::string> newVms_; ///< Names of VMs that were heard first, or first after they started again, and not told of yet.
     Time newVmsToldAt_;
-    unsigned entryVms_ =
-        1; ///< VMs that share the members' connections, by the last review; counted for each statement, the walk over all VMs took most of a VM's processor time.
+    unsigned entryVms_ = 1; ///< VMs that share the members' connections, by the last review: counting walks over all VMs, too much for each statement.
     Time startedAt_;
     OutageHistory outages_; ///< Of primaries that were replaced, of all groups.
     std::optional<bool> ready_;
--- a/src/StoreReads.cpp
+++ b/src/StoreReads.cpp
@@ -249,7 +249,8 @@
     }
     if (!sessions.peers_.empty()) {
         // A VM that registers later finds this one in the list and makes itself known.
-        sessions.schedule_.vmsAt_ = now + (isReadFor(sessions, now) || !areAllClose(static_cast<unsigned>(vms.size())) ? seldomVmInterval : vmInterval);
+        const bool isOneOfMany = !areAllClose(static_cast<unsigned>(vms.size())) && !leadsAny(sessions);
+        sessions.schedule_.vmsAt_ = now + (isOneOfMany ? seldomVmInterval : vmInterval);
     }
     sessions.heartbeatNow_ = true;
 }
@@ -349,7 +350,7 @@
         readMembers(state, now, out);
     }
     if (schedule.registered_ && isDue(schedule.vms_, schedule.vmsAt_, now)) {
-        schedule.vmsAt_ = now + firstVmInterval;
+        schedule.vmsAt_ = now + (sessions.peers_.empty() ? firstVmInterval : isReadFor(sessions, now) ? seldomVmInterval : vmInterval);
         schedule.vms_ = callStore(state, ReadVms{}, now, out);
     }
 }
--- a/test/error/SessionLeaderIsLostByMany.cpp
+++ b/test/error/SessionLeaderIsLostByMany.cpp
@@ -28,11 +28,11 @@
     return found == world.storeCalls().end() ? 0 : found->second;
 }
 
-/** Some running VM other than \p not. */
-unsigned someVm(const SessionWorld &world, unsigned vms, std::mt19937_64 &random, unsigned not_)
+/** Some running VM other than \p except. */
+unsigned someVm(const SessionWorld &world, unsigned vms, std::mt19937_64 &random, unsigned except)
 {
     unsigned vm = static_cast<unsigned>(random() % vms);
-    while (vm == not_ || !world.runs(vm)) {
+    while (vm == except || !world.runs(vm)) {
         vm = (vm + 1) % vms;
     }
     return vm;
