--- a/src/GroupLeadership.cpp
+++ b/src/GroupLeadership.cpp
@@ -110,7 +110,8 @@
         return;
     }
     const bool isFirst = group.seenClaim_->revision_ == 0;
-    if (isFirst && now - state.sessions_->startedAt_ < firstClaimAfter) {
+    const bool isOneOfMany = !areAllClose(static_cast<unsigned>(state.sessions_->peers_.size() + 1));
+    if (isFirst && isOneOfMany && now - state.sessions_->startedAt_ < firstClaimAfter) {
         return;
     }
     if (group.claimAfter_ == Time()) {
--- a/src/SessionService.cpp
+++ b/src/SessionService.cpp
@@ -77,7 +77,8 @@
 {
     for (const MemberId &id : group.members_) {
         MemberState *member = findMember(state, id);
-        if (member != nullptr && isInDoubt(*member) && now - member->controlAsked_ >= doubtInterval) {
+        const bool isSilent = member != nullptr && isInDoubt(*member) && (!member->heard_ || now - *member->heard_ >= doubtInterval);
+        if (isSilent && now - member->controlAsked_ >= doubtInterval) {
             askMemberReport(state, *member, now, out);
         }
     }
--- a/src/StoreReads.cpp
+++ b/src/StoreReads.cpp
@@ -247,10 +247,9 @@
             peer.vm_.name_ = vm.name_;
         }
     }
-    if (!sessions.peers_.empty()) {
+    if (!areAllClose(static_cast<unsigned>(vms.size())) && !leadsAny(sessions)) {
         // A VM that registers later finds this one in the list and makes itself known.
-        const bool isOneOfMany = !areAllClose(static_cast<unsigned>(vms.size())) && !leadsAny(sessions);
-        sessions.schedule_.vmsAt_ = now + (isOneOfMany ? seldomVmInterval : vmInterval);
+        sessions.schedule_.vmsAt_ = now + seldomVmInterval;
     }
     sessions.heartbeatNow_ = true;
 }
