--- a/src/Effect.h
+++ b/src/Effect.h
@@ -35,6 +35,7 @@
     MemberId member_;
     std::string address_;
     ServiceId service_{}; ///< Of a member that serves sessions; it refuses the name of another.
+    OrganisationId organisation_{}; ///< For which the connection runs statements; empty: for none, or for the proxy itself.
 };
 /** Close a connection; ConnectionLost does not follow, answers that are still under way are dropped. */
 struct CloseConnection
--- a/src/HeartbeatSocket.cpp
+++ b/src/HeartbeatSocket.cpp
@@ -1,5 +1,6 @@
 #include "HeartbeatSocket.h"
 
+#include "Overloaded.h"
 #include "SocketAddress.h"
 #include "WireHeartbeat.h"
 
@@ -39,16 +40,42 @@
 
 void HeartbeatSocket::send(const SendHeartbeat &effect)
 {
-    const std::optional<SocketAddress> parsed = parseSocketAddress(effect.address_);
+    sendTo(effect.address_, Wire::encodeHeartbeat(effect.heartbeat_));
+}
+
+void HeartbeatSocket::send(const SendAdmissionRequest &effect)
+{
+    sendTo(effect.address_, Wire::encodeAdmissionRequest(effect.request_));
+}
+
+void HeartbeatSocket::send(const SendAdmissionGrant &effect)
+{
+    sendTo(effect.address_, Wire::encodeAdmissionGrant(effect.grant_));
+}
+
+void HeartbeatSocket::sendTo(const std::string &address, const std::string &datagram)
+{
+    const std::optional<SocketAddress> parsed = parseSocketAddress(address);
     if (!parsed) {
         return;
     }
-    const std::string datagram = Wire::encodeHeartbeat(effect.heartbeat_);
     boost::system::error_code error;
-    // A datagram that cannot be sent now is as good as lost on the way: the next one follows in a moment.
+    // A datagram that cannot be sent now is as good as lost on the way: another follows in a moment.
     socket_.send_to(boost::asio::buffer(datagram), boost::asio::ip::udp::endpoint(parsed->ip_, parsed->port_), 0, error);
 }
 
+void HeartbeatSocket::take(std::string_view datagram)
+{
+    const Overloaded handle{
+        [&](VmHeartbeat &heartbeat) { events_.post(SessionEvent(HeartbeatReceived{std::move(heartbeat)})); },
+        [&](AdmissionRequest &request) { events_.post(SessionEvent(std::move(request))); },
+        [&](AdmissionGrant &grant) { events_.post(SessionEvent(std::move(grant))); },
+    };
+    if (std::optional<Wire::VmDatagram> decoded = Wire::decodeDatagram(datagram)) {
+        std::visit(handle, *decoded);
+    }
+}
+
 void HeartbeatSocket::receive()
 {
     socket_.async_receive_from(boost::asio::buffer(buffer_), sender_, [this](const boost::system::error_code &error, std::size_t size) {
@@ -56,9 +83,7 @@
             return;
         }
         if (!error) {
-            if (std::optional<VmHeartbeat> heartbeat = Wire::decodeHeartbeat(std::string_view(buffer_.data(), size))) {
-                events_.post(SessionEvent(HeartbeatReceived{*std::move(heartbeat)}));
-            }
+            take(std::string_view(buffer_.data(), size));
         }
         receive(); // An error here is the echo of a datagram that another VM refused.
     });
--- a/src/HeartbeatSocket.h
+++ b/src/HeartbeatSocket.h
@@ -18,10 +18,14 @@
     HeartbeatSocket(boost::asio::io_context &context, EventSink &events);
     /** Binds to \p address, "IP:port". Unavailable if that is taken. */
     absl::Status open(const std::string &address);
-    /** Sends a heartbeat; whether it arrives is not known. */
+    /** Send a datagram; whether it arrives is not known. */
     void send(const SendHeartbeat &effect);
+    void send(const SendAdmissionRequest &effect);
+    void send(const SendAdmissionGrant &effect);
 
 private:
+    void sendTo(const std::string &address, const std::string &datagram);
+    void take(std::string_view datagram);
     void receive();
 
     /** Largest datagram that is taken; one of a few hundred groups. */
--- a/src/Ids.h
+++ b/src/Ids.h
@@ -50,6 +50,8 @@
 using MemberId = StrongValue<struct MemberIdTag, std::string>;
 /** Name of a class of work, such as "dispatch". */
 using ClassId = StrongValue<struct ClassIdTag, std::string>;
+/** An organisation whose applications use the databases. */
+using OrganisationId = StrongValue<struct OrganisationIdTag, std::string>;
 /** A caller's request at its entry proxy; unique there for the life of the process. */
 using RequestId = StrongValue<struct RequestIdTag, std::uint64_t>;
 /** A transaction at its entry proxy; zero means "none". */
--- a/src/MemberConnections.cpp
+++ b/src/MemberConnections.cpp
@@ -150,6 +150,27 @@
     }
 }
 
+MemberConnection newConnection(ProxyState &state, const MemberState &member, Time now)
+{
+    MemberConnection connection{.id_ = ConnectionId(takeId(state)), .member_ = member.entry_.id_, .service_ = member.entry_.service_};
+    connection.sentAt_ = now;
+    return connection;
+}
+
+void open(ProxyState &state, const MemberState &member, MemberConnection connection, Effects &out)
+{
+    out.emplace_back(OpenConnection{connection.id_, member.entry_.id_, member.entry_.address_, member.entry_.service_, connection.organisation_});
+    state.sessions_->connections_.emplace(connection.id_, std::move(connection));
+}
+
+void openControlConnection(ProxyState &state, MemberState &member, Time now, Effects &out)
+{
+    MemberConnection connection = newConnection(state, member, now);
+    connection.isControl_ = true;
+    member.control_ = connection.id_;
+    open(state, member, std::move(connection), out);
+}
+
 MemberConnection *controlConnection(ProxyState &state, MemberState &member, Time now, Effects &out)
 {
     if (member.control_) {
@@ -161,7 +182,7 @@
         return findConnection(state, id);
     }
     if (now >= member.openAfter_) {
-        openMemberConnection(state, member, true, now, out);
+        openControlConnection(state, member, now, out);
         return findConnection(state, *member.control_);
     }
     return nullptr;
@@ -242,19 +263,23 @@
     return found == state.sessions_->members_.end() ? nullptr : &found->second;
 }
 
-void openMemberConnection(ProxyState &state, MemberState &member, bool control, Time now, Effects &out)
+void openStatementConnection(ProxyState &state, MemberState &member, const OrganisationId &organisation, Time now, Effects &out)
 {
-    const ConnectionId id(takeId(state));
-    MemberConnection connection{.id_ = id, .member_ = member.entry_.id_, .service_ = member.entry_.service_};
-    connection.isControl_ = control;
-    connection.sentAt_ = now;
-    state.sessions_->connections_.emplace(id, std::move(connection));
-    if (control) {
-        member.control_ = id;
-    } else {
-        member.connections_.insert(id);
+    MemberConnection connection = newConnection(state, member, now);
+    connection.organisation_ = organisation;
+    member.connections_.insert(connection.id_);
+    open(state, member, std::move(connection), out);
+}
+
+bool closeOldestOfOthers(ProxyState &state, const MemberState &member, const OrganisationId &organisation, Effects &out)
+{
+    const auto isOfAnother = [&](ConnectionId id) { return findConnection(state, id)->organisation_ != organisation; };
+    const auto oldest = std::ranges::find_if(member.idle_, isOfAnother); // The one that has rested longest comes first.
+    if (oldest == member.idle_.end()) {
+        return false;
     }
-    out.emplace_back(OpenConnection{id, member.entry_.id_, member.entry_.address_, member.entry_.service_});
+    closeMemberConnection(state, *oldest, out);
+    return true;
 }
 
 void onMemberConnected(ProxyState &state, ConnectionId id, Time now, Effects &out)
@@ -288,6 +313,10 @@
     if (member != nullptr && connection.use_ == MemberConnectionUse::Opening) {
         noteOpenFailure(state, *member, lost.end_, now);
         tellOpenFailure(*state.sessions_, *member, connection.isControl_, lost.end_, now, out);
+        if (lost.end_ == ConnectionEnd::Refused) {
+            // The member is full: what rests here for other organisations is the room that the next try needs.
+            closeOldestOfOthers(state, *member, connection.organisation_, out);
+        }
     }
     if (connection.session_) {
         onSessionConnectionLost(state, *connection.session_, connection.member_, now, out);
--- a/src/MemberConnections.h
+++ b/src/MemberConnections.h
@@ -11,8 +11,10 @@
 struct ProxyState;
 struct ConnectionLost;
 
-/** Asks for one more connection to \p member. */
-void openMemberConnection(ProxyState &state, MemberState &member, bool control, Time now, Effects &out);
+/** Asks for one more connection to \p member, for statements of \p organisation. */
+void openStatementConnection(ProxyState &state, MemberState &member, const OrganisationId &organisation, Time now, Effects &out);
+/** Closes the idle connection to \p member that has rested longest, of those for other organisations than \p organisation; false if there is none. */
+bool closeOldestOfOthers(ProxyState &state, const MemberState &member, const OrganisationId &organisation, Effects &out);
 /** A connection that was asked for is ready. */
 void onMemberConnected(ProxyState &state, ConnectionId connection, Time now, Effects &out);
 /** A connection is gone, or never was. */
--- /dev/null
+++ b/src/SessionAccess.cpp
@@ -0,0 +1,157 @@
+#include "SessionAccess.h"
+
+#include "ProxyState.h"
+#include "SessionStatements.h"
+
+#include <absl/strings/str_cat.h>
+#include <vector>
+
+namespace Figward {
+
+namespace {
+
+/**
+ * A key that is not known may have been added a moment ago: it is refused only by a configuration that some VM has compared with the store's latest within this
+ * time. VMs compare every 1.2 s while the store answers, so a flood of unknown keys costs no call, and hardly ever a wait.
+ */
+constexpr Duration freshEnough = std::chrono::milliseconds(2500);
+/** A client with a key that is not known waits no longer than this for such a configuration: clients give up after some 2 s. */
+constexpr Duration longestWait = std::chrono::milliseconds(1200);
+
+/** What becomes of a session that is not accepted yet. */
+enum class Access {
+    Waits,
+    Accepted,
+    NoDatabase,
+    NotAuthenticated,
+};
+
+/** Whether no newer configuration is to be expected that knows more keys. */
+bool isSettled(const SessionServiceState &sessions, const ClientSession &session, Time now)
+{
+    const std::optional<Time> &askedAt = sessions.schedule_.configurationCheck_.askedAt_;
+    const bool fresh = askedAt && now - *askedAt < freshEnough && sessions.newestHeard_ <= sessions.configuration_->version_;
+    return fresh || now - session.openedAt_ >= longestWait;
+}
+
+Access accessOf(const SessionServiceState &sessions, const ClientSession &session, Time now)
+{
+    if (!sessions.configuration_) {
+        return Access::Waits;
+    }
+    const auto route = sessions.configuration_->databases_.find(session.database_);
+    if (route == sessions.configuration_->databases_.end()) {
+        return Access::NoDatabase;
+    }
+    if (callerOf(sessions, session, route->second).admitted_) {
+        return Access::Accepted;
+    }
+    return isSettled(sessions, session, now) ? Access::NotAuthenticated : Access::Waits;
+}
+
+void tellRefusedKey(const ClientSession &session, const SessionConfiguration &configuration, Effects &out)
+{
+    // Never the key or its digest: the log is read by more people than the configuration.
+    out.emplace_back(WriteLog{LogNumber::KeyRefused,
+                              {{"session", absl::StrCat(session.key_.value())},
+                               {"database", session.database_},
+                               {"named", session.keyDigest_ ? "yes" : "no"},
+                               {"configuration", absl::StrCat(configuration.version_.value())}}});
+}
+
+/** Accepts or refuses the session, or lets it wait. True if it waits. */
+bool settle(ProxyState &state, ClientSession &session, Time now, Effects &out)
+{
+    SessionServiceState &sessions = *state.sessions_;
+    const SessionKey key = session.key_;
+    switch (accessOf(sessions, session, now)) {
+    case Access::Waits:
+        return true;
+    case Access::Accepted:
+        session.accepted_ = true;
+        out.emplace_back(SessionEffect(AcceptSession{key}));
+        return false;
+    case Access::NoDatabase:
+        out.emplace_back(SessionEffect(RefuseSession{key, ReplyCode::NoDatabase, session.database_}));
+        break;
+    case Access::NotAuthenticated:
+        tellRefusedKey(session, *sessions.configuration_, out);
+        out.emplace_back(SessionEffect(RefuseSession{key, ReplyCode::NotAuthenticated, "no organisation holds this key"}));
+        break;
+    }
+    sessions.sessions_.erase(key);
+    return false;
+}
+
+/** Notes sessions whose keys nobody holds any more, and tells how many there are. */
+void noteRevoked(SessionServiceState &sessions, Effects &out)
+{
+    std::size_t revoked = 0;
+    for (auto &[key, session] : sessions.sessions_) {
+        const auto route = sessions.configuration_->databases_.find(session.database_);
+        const bool known = route == sessions.configuration_->databases_.end() || callerOf(sessions, session, route->second).admitted_;
+        revoked += session.accepted_ && !known && !session.revoked_ ? 1 : 0;
+        session.revoked_ = session.accepted_ && !known;
+    }
+    if (revoked > 0) {
+        out.emplace_back(WriteLog{LogNumber::KeysRevoked,
+                                  {{"sessions", absl::StrCat(revoked)}, {"configuration", absl::StrCat(sessions.configuration_->version_.value())}}});
+    }
+}
+
+} // namespace
+
+Caller callerOf(const SessionServiceState &sessions, const ClientSession &session, const DatabaseRoute &route)
+{
+    const std::optional<Organisations> &organisations = sessions.configuration_->organisations_;
+    return identifyCaller(organisations ? &*organisations : nullptr, route.public_, session.keyDigest_);
+}
+
+void onSessionOpened(ProxyState &state, const SessionOpened &opened, Time now, Effects &out)
+{
+    ClientSession session;
+    session.key_ = opened.session_;
+    session.database_ = opened.database_;
+    session.keyDigest_ = opened.key_;
+    session.openedAt_ = now;
+    session.lastActive_ = now;
+    SessionServiceState &sessions = *state.sessions_;
+    const auto place = sessions.sessions_.insert_or_assign(opened.session_, std::move(session)).first;
+    if (settle(state, place->second, now, out)) {
+        sessions.unaccepted_.insert(opened.session_);
+    }
+}
+
+void reviewWaitingSessions(ProxyState &state, Time now, Effects &out)
+{
+    std::set<SessionKey> waiting;
+    for (const SessionKey key : state.sessions_->unaccepted_) {
+        ClientSession *session = findSession(state, key);
+        if (session != nullptr && settle(state, *session, now, out)) {
+            waiting.insert(key);
+        }
+    }
+    state.sessions_->unaccepted_ = std::move(waiting);
+}
+
+void onConfigurationInForce(ProxyState &state, Time now, Effects &out)
+{
+    noteRevoked(*state.sessions_, out);
+    reviewWaitingSessions(state, now, out);
+}
+
+void closeRevokedSessions(SessionServiceState &sessions, Effects &out)
+{
+    std::vector<SessionKey> resting;
+    for (const auto &[key, session] : sessions.sessions_) {
+        if (session.revoked_ && isAtRest(session)) {
+            resting.push_back(key);
+        }
+    }
+    for (const SessionKey key : resting) {
+        out.emplace_back(SessionEffect(CloseSession{key}));
+        sessions.sessions_.erase(key);
+    }
+}
+
+} // namespace Figward
--- a/src/SessionConfiguration.h
+++ b/src/SessionConfiguration.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "Organisations.h"
 #include "SessionTypes.h"
 
 #include <map>
@@ -28,6 +29,7 @@
     Duration target_{}; ///< Aim for a whole operation.
     Duration maxStaleness_{};
     unsigned priority_ = 0; ///< 0 goes first.
+    bool public_ = false; ///< Clients need no key.
 };
 
 /** What the members of one service allow. */
@@ -43,6 +45,7 @@
     ConfigVersion version_;
     std::map<std::string, DatabaseRoute> databases_; ///< By the name that clients give.
     std::map<ServiceId, ServiceLimits> services_;
+    std::optional<Organisations> organisations_; ///< Absent: clients need no keys.
     Duration transactionIdle_{}; ///< A transaction without a statement for this long may be ended.
 };
 
--- a/src/SessionEvents.h
+++ b/src/SessionEvents.h
@@ -16,6 +16,7 @@
 {
     SessionKey session_;
     std::string database_;
+    std::optional<KeyDigest> key_; ///< Of the key that the client named.
 };
 /** A client sent a statement. */
 struct StatementArrived
@@ -80,6 +81,29 @@
     VmHeartbeat heartbeat_;
 };
 
+/** A VM asks another, by datagram, for permits of an organisation; see OrganisationQuota.h. */
+struct AdmissionRequest
+{
+    std::string name_; ///< Of the sender, like the three below.
+    VmId from_;
+    std::string address_;
+    ZoneId zone_;
+    OrganisationId organisation_;
+    std::uint64_t number_ = 0; ///< Of the sender; the answer carries it.
+    double wanted_ = 0; ///< Operations, or, of a limiter of another zone, tokens.
+    bool lends_ = false; ///< The sender limits the organisation in another zone and runs short.
+};
+/** The answer, by datagram. */
+struct AdmissionGrant
+{
+    VmId from_;
+    VmId to_;
+    OrganisationId organisation_;
+    std::uint64_t number_ = 0;
+    double granted_ = 0;
+    Duration nextIn_{}; ///< Until one more is to be had.
+};
+
 /** How fresh an answer of the store must be. */
 enum class Freshness {
     Latest,
@@ -163,7 +187,15 @@
     unsigned status_ = 0; ///< HTTP; zero: no answer.
 };
 
-using SessionEvent = std::variant<SessionOpened, StatementArrived, SessionClosed, MemberReplyArrived, HeartbeatReceived, StoreAnswered, PromotionAnswered>;
+using SessionEvent = std::variant<SessionOpened,
+                                  StatementArrived,
+                                  SessionClosed,
+                                  MemberReplyArrived,
+                                  HeartbeatReceived,
+                                  AdmissionRequest,
+                                  AdmissionGrant,
+                                  StoreAnswered,
+                                  PromotionAnswered>;
 
 /** Lets a client that opened a session go on. */
 struct AcceptSession
@@ -200,6 +232,18 @@
     std::string address_;
     VmHeartbeat heartbeat_;
 };
+/** Sends a datagram to the VM at "IP:port", like a heartbeat. */
+struct SendAdmissionRequest
+{
+    std::string address_;
+    AdmissionRequest request_;
+};
+/** Sends a datagram to the VM at "IP:port", like a heartbeat. */
+struct SendAdmissionGrant
+{
+    std::string address_;
+    AdmissionGrant grant_;
+};
 /** Calls the store, or a VM in its place; comes back as StoreAnswered, also when there was no answer in time. */
 struct CallStore
 {
@@ -232,7 +276,17 @@
     std::optional<Duration> atMember_; ///< Since it was sent; none if it never was.
 };
 
-using SessionEffect =
-    std::variant<AcceptSession, RefuseSession, AnswerSession, CloseSession, SendToMember, SendHeartbeat, CallStore, CallPromotion, SetReady, StatementEnded>;
+using SessionEffect = std::variant<AcceptSession,
+                                   RefuseSession,
+                                   AnswerSession,
+                                   CloseSession,
+                                   SendToMember,
+                                   SendHeartbeat,
+                                   SendAdmissionRequest,
+                                   SendAdmissionGrant,
+                                   CallStore,
+                                   CallPromotion,
+                                   SetReady,
+                                   StatementEnded>;
 
 } // namespace Figward
--- a/src/SessionPolicies.h
+++ b/src/SessionPolicies.h
@@ -18,6 +18,7 @@
     bool visits_ = true; ///< Where VMs have no share of the connections they visit members; see ConnectionPlan.h.
     bool pausesLagging_ = true; ///< A replica that refused a read as lagging is passed over for a moment.
     bool prefersOwnZone_ = true; ///< Members of the own availability zone are preferred; see StatementPlacement.h.
+    bool poolsQuota_ = true; ///< An organisation's rate is held by one VM of each zone for all; otherwise each VM has an equal part. See OrganisationQuota.h.
     bool sparesPrimary_ = true; ///< Reads leave the primary a little room; see StatementPlacement.h.
     bool operator==(const SessionPolicies &) const = default;
 };
--- a/src/SessionService.cpp
+++ b/src/SessionService.cpp
@@ -5,9 +5,11 @@
 #include "GroupLeadership.h"
 #include "MemberConnections.h"
 #include "MemberDirectoryUpdate.h"
+#include "OrganisationQuota.h"
 #include "Overloaded.h"
 #include "PrimaryReplacement.h"
 #include "ProxyState.h"
+#include "SessionAccess.h"
 #include "SessionDrain.h"
 #include "SessionHeartbeats.h"
 #include "SessionStatements.h"
@@ -159,6 +161,9 @@
         reviewGroup(state, group, now, out);
     }
     reviewMemberConnections(state, now, out);
+    reviewAdmission(state, now, out);
+    reviewWaitingSessions(state, now, out);
+    closeRevokedSessions(*state.sessions_, out);
     reviewSessions(state, now, out);
     reviewSessionDrain(state, now, out);
     reviewCutOff(*state.sessions_, now, out);
@@ -197,6 +202,8 @@
         [&](const SessionClosed &body) { onSessionClosed(state, body.session_, now, out); },
         [&](const MemberReplyArrived &body) { onMemberReply(state, body, now, out); },
         [&](const HeartbeatReceived &body) { onHeartbeatReceived(state, body.heartbeat_, now, out); },
+        [&](const AdmissionRequest &body) { onAdmissionRequest(state, body, now, out); },
+        [&](const AdmissionGrant &body) { onAdmissionGrant(state, body, now, out); },
         [&](const StoreAnswered &body) { onStoreAnswered(state, body, now, out); },
         [&](const PromotionAnswered &body) { onPromotionAnswered(state, body, now, out); },
     };
--- a/src/SessionState.h
+++ b/src/SessionState.h
@@ -9,6 +9,7 @@
 #include "PrimaryAuthority.h"
 #include "SessionEvents.h"
 #include "SessionPolicies.h"
+#include "TokenBucket.h"
 #include "Units.h"
 #include "WaitForecast.h"
 
@@ -53,7 +54,11 @@
 {
     SessionKey key_;
     std::string database_;
-    bool accepted_ = false; ///< Waits for a configuration until then.
+    std::optional<KeyDigest> keyDigest_; ///< Of the key that the client named.
+    OrganisationId organisation_; ///< Holds the key; of the present operation.
+    Time openedAt_;
+    bool accepted_ = false; ///< Until then it waits for a configuration, or for one that knows its key.
+    bool revoked_ = false; ///< No organisation holds its key any more; it is closed between two statements.
     TransactionState state_ = TransactionState::None;
     DatabaseRoute route_; ///< Of the present operation.
     std::string beginId_; ///< Id of the client's statement that began the transaction.
@@ -83,6 +88,7 @@
     ConnectionId id_;
     MemberId member_;
     ServiceId service_;
+    OrganisationId organisation_; ///< The member was told that it runs for this one; statements of others never use it.
     MemberConnectionUse use_ = MemberConnectionUse::Opening;
     std::optional<SessionKey> session_;
     std::deque<MemberRequest> steps_; ///< Not sent yet; one is under way at a time.
@@ -261,6 +267,47 @@
     Time since_;
 };
 
+/** Permits that this VM has asked another for and has no answer about. */
+struct PermitAsk
+{
+    std::uint64_t number_ = 0;
+    unsigned wanted_ = 0; ///< The first that wait.
+    std::string limiter_; ///< VM.
+    Time sentAt_;
+    unsigned tries_ = 0; ///< At the same limiter before.
+};
+/** Operations of one organisation that wait for permits. */
+struct PermitQueue
+{
+    std::deque<SessionKey> waiting_; ///< Oldest first.
+    std::optional<PermitAsk> ask_;
+    Time notBefore_; ///< No permit is to be had before.
+};
+/** What this VM may grant of an organisation's quota. */
+struct Allowance
+{
+    TokenBucket bucket_;
+    Time borrowedAt_; ///< When it last asked another zone for tokens.
+    std::set<std::uint64_t> borrows_; ///< Numbers of those requests, until they are answered.
+};
+/** An organisation that has reached its quota. */
+struct QuotaLimited
+{
+    Time since_;
+    Time lastAt_; ///< Of the last refusal.
+    std::uint64_t refused_ = 0; ///< Operations, by this VM.
+};
+/** All that this VM knows of quotas; see OrganisationQuota.h. */
+struct QuotaBook
+{
+    std::map<OrganisationId, PermitQueue> queues_;
+    std::map<OrganisationId, Allowance> allowances_;
+    std::map<std::string, Time> silentSince_; ///< VMs that did not answer, until they are heard again.
+    std::map<OrganisationId, QuotaLimited> limited_;
+    double partOfZone_ = 1; ///< That this VM may grant, by the last review, like the zones below.
+    std::set<ZoneId> zones_;
+};
+
 /** State of a proxy's sessions. */
 struct SessionServiceState
 {
@@ -273,11 +320,13 @@
     bool directoryKnown_ = false;
     std::uint64_t directoryMark_ = 0; ///< Fingerprint of its content, equal at all VMs that know the same members; zero: none is known.
     std::map<SessionKey, ClientSession> sessions_;
+    std::set<SessionKey> unaccepted_; ///< Of these, the sessions that are not accepted yet.
     std::map<ConnectionId, MemberConnection> connections_;
     std::map<MemberId, MemberState> members_;
     std::map<ServiceId, SessionGroup> groups_;
     std::map<std::string, PeerVm> peers_; ///< By name of the VM.
     std::map<CallId, StoreCallUnderWay> calls_;
+    QuotaBook quotas_;
     StoreSchedule schedule_;
     Time heartbeatsReviewAt_; ///< No heartbeat is due before, but for those wanted at once.
     bool heartbeatNow_ = false;
--- a/src/SessionStatements.cpp
+++ b/src/SessionStatements.cpp
@@ -1,7 +1,9 @@
 #include "SessionStatements.h"
 
 #include "MemberConnections.h"
+#include "OrganisationQuota.h"
 #include "ProxyState.h"
+#include "SessionAccess.h"
 #include "SessionService.h"
 #include "StatementDispatch.h"
 #include "StatementNeeds.h"
@@ -15,6 +17,8 @@
 /** A read whose member is silent for this long runs at another member: several times the longest work seen. */
 constexpr Duration readSilence = std::chrono::milliseconds(450);
 
+constexpr const char *keyWasTakenAway = "no organisation holds the key of this session any more";
+
 /** The route of the session's database, if the configuration in force has one. */
 const DatabaseRoute *findRoute(const ProxyState &state, const std::string &database)
 {
@@ -36,7 +40,7 @@
     }
     if (!session.pinned_) {
         session.run_->first_ = true;
-        joinWaiting(state, session);
+        admitOperation(state, session, now, out);
         return;
     }
     MemberConnection *connection = findConnection(state, *session.pinned_);
@@ -54,14 +58,49 @@
     sendNextStep(state, *connection, now, out);
 }
 
-void begin(ProxyState &state, ClientSession &session, const ClientStatement &statement, Effects &out)
+/** Settles which route the operation that begins takes, and for which organisation it runs; false if it was answered with a refusal. */
+bool beginOperation(ProxyState &state, ClientSession &session, Effects &out)
 {
     const DatabaseRoute *route = findRoute(state, session.database_);
     if (route == nullptr) {
         answerError(session, ReplyCode::NoDatabase, session.database_, out);
-        return;
+        return false;
+    }
+    const Caller caller = callerOf(*state.sessions_, session, *route);
+    if (!caller.admitted_) {
+        session.revoked_ = true;
+        answerError(session, ReplyCode::NotAuthenticated, keyWasTakenAway, out);
+        return false;
     }
     session.route_ = *route;
+    session.organisation_ = caller.organisation_;
+    return true;
+}
+
+/** Whether the key of \p session still belongs to the organisation that its open transaction runs for. */
+bool keepsOrganisation(const ProxyState &state, const ClientSession &session)
+{
+    const Caller caller = callerOf(*state.sessions_, session, session.route_);
+    return caller.admitted_ && caller.organisation_ == session.organisation_;
+}
+
+/** Ends the open transaction of a client whose key was taken away: the member rolls back, and no statement of it runs any more. */
+void abortRevoked(ProxyState &state, ClientSession &session, const ClientStatement &statement, Time now, Effects &out)
+{
+    if (session.pinned_) {
+        releaseMemberConnection(state, *session.pinned_, now, out);
+    }
+    const bool ends = statement.kind_ == StatementKind::Commit || statement.kind_ == StatementKind::Rollback;
+    endTransaction(session);
+    session.state_ = ends ? TransactionState::None : TransactionState::Failed;
+    answerError(session, ReplyCode::Aborted, keyWasTakenAway, out);
+}
+
+void begin(ProxyState &state, ClientSession &session, const ClientStatement &statement, Effects &out)
+{
+    if (!beginOperation(state, session, out)) {
+        return;
+    }
     session.state_ = TransactionState::Open;
     session.beginId_ = statement.id_;
     session.readOnly_ = statement.kind_ == StatementKind::BeginRead;
@@ -83,13 +122,8 @@
         answerError(session, ReplyCode::NoStatement, statement.name_, out);
         return;
     }
-    if (session.state_ == TransactionState::None) {
-        const DatabaseRoute *route = findRoute(state, session.database_);
-        if (route == nullptr) {
-            answerError(session, ReplyCode::NoDatabase, session.database_, out);
-            return;
-        }
-        session.route_ = *route;
+    if (session.state_ == TransactionState::None && !beginOperation(state, session, out)) {
+        return;
     }
     runStatement(state, session, statement, now, out);
 }
@@ -126,6 +160,10 @@
         answerError(session, ReplyCode::Malformed, "the transaction has failed; only its end is taken", out);
         return;
     }
+    if (session.state_ == TransactionState::Open && !keepsOrganisation(state, session)) {
+        abortRevoked(state, session, statement, now, out);
+        return;
+    }
     switch (statement.kind_) {
     case StatementKind::Malformed:
         answerError(session, ReplyCode::Malformed, statement.text_, out);
@@ -190,39 +228,6 @@
     return !session.run_ && session.queued_.empty() && session.state_ == TransactionState::None;
 }
 
-void onSessionOpened(ProxyState &state, const SessionOpened &opened, Time now, Effects &out)
-{
-    ClientSession session;
-    session.key_ = opened.session_;
-    session.database_ = opened.database_;
-    session.lastActive_ = now;
-    state.sessions_->sessions_.insert_or_assign(opened.session_, std::move(session));
-    acceptWaitingSessions(state, out);
-}
-
-void acceptWaitingSessions(ProxyState &state, Effects &out)
-{
-    if (!state.sessions_->configuration_) {
-        return;
-    }
-    std::vector<SessionKey> refused;
-    for (auto &[key, session] : state.sessions_->sessions_) {
-        if (session.accepted_) {
-            continue;
-        }
-        if (findRoute(state, session.database_) == nullptr) {
-            refused.push_back(key);
-            continue;
-        }
-        session.accepted_ = true;
-        out.emplace_back(SessionEffect(AcceptSession{key}));
-    }
-    for (const SessionKey key : refused) {
-        out.emplace_back(SessionEffect(RefuseSession{key, ReplyCode::NoDatabase, state.sessions_->sessions_.at(key).database_}));
-        state.sessions_->sessions_.erase(key);
-    }
-}
-
 void onStatementArrived(ProxyState &state, const StatementArrived &arrived, Time now, Effects &out)
 {
     ClientSession *session = findSession(state, arrived.session_);
@@ -238,6 +243,7 @@
 
 void onSessionClosed(ProxyState &state, SessionKey key, Time now, Effects &out)
 {
+    state.sessions_->unaccepted_.erase(key);
     ClientSession *session = findSession(state, key);
     if (session == nullptr) {
         return;
--- a/src/SessionStatements.h
+++ b/src/SessionStatements.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines how clients' sessions are opened, and how their statements are taken in, one at a time.
+ * Defines how clients' statements are taken in, one at a time of each session.
  */
 #pragma once
 
@@ -12,8 +12,6 @@
 
 /** The session, if the client has not closed it. */
 ClientSession *findSession(ProxyState &state, SessionKey key);
-/** A client opened a session; it waits until there is a configuration. */
-void onSessionOpened(ProxyState &state, const SessionOpened &opened, Time now, Effects &out);
 /** A client sent a statement. */
 void onStatementArrived(ProxyState &state, const StatementArrived &arrived, Time now, Effects &out);
 /** A client is gone: what it has open is rolled back. */
@@ -22,8 +20,6 @@
 void onStatementDeadline(ProxyState &state, SessionKey session, Time now, Effects &out);
 /** Takes what the client sent before the answer that it has now been given. */
 void takeNextStatement(ProxyState &state, ClientSession &session, Time now, Effects &out);
-/** Accepts or refuses the sessions that wait for a configuration. */
-void acceptWaitingSessions(ProxyState &state, Effects &out);
 /** Ends transactions that rest for too long and gives statements to other members where one is silent. */
 void reviewSessions(ProxyState &state, Time now, Effects &out);
 /** Whether nothing of the session is under way and it is in no transaction. */
--- a/src/SessionTypes.cpp
+++ b/src/SessionTypes.cpp
@@ -29,6 +29,8 @@
         return "in-doubt";
     case ReplyCode::NoDatabase:
         return "no-such-database";
+    case ReplyCode::NotAuthenticated:
+        return "not-authenticated";
     case ReplyCode::Malformed:
         return "malformed";
     case ReplyCode::Other:
--- a/src/SessionTypes.h
+++ b/src/SessionTypes.h
@@ -58,6 +58,7 @@
     Timeout, ///< No answer in time; promises nothing.
     InDoubt, ///< May or may not have run.
     NoDatabase, ///< No route has this name.
+    NotAuthenticated, ///< No organisation holds the client's key.
     Malformed,
     Other, ///< A code that is not known here; its word begins the text.
 };
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -48,6 +48,7 @@
     policy("pause_lagging", "A replica that refused a read as lagging is passed over for a moment."),
     policy("prefer_own_zone", "Members of the own availability zone are preferred."),
     policy("spare_primary", "Reads leave the primary a little room."),
+    policy("pool_quotas", "An organisation's rate is held by one VM of each availability zone for all; otherwise each VM has an equal part."),
 };
 
 constexpr std::array sessionsFields{
@@ -119,6 +120,7 @@
     policies.pausesLagging_ = isOn("pause_lagging");
     policies.prefersOwnZone_ = isOn("prefer_own_zone");
     policies.sparesPrimary_ = isOn("spare_primary");
+    policies.poolsQuota_ = isOn("pool_quotas");
     return policies;
 }
 
--- a/src/StatementDispatch.cpp
+++ b/src/StatementDispatch.cpp
@@ -3,6 +3,7 @@
 #include "ConnectionSharing.h"
 #include "CutOff.h"
 #include "MemberConnections.h"
+#include "OrganisationQuota.h"
 #include "ProxyState.h"
 #include "SessionService.h"
 #include "SessionStatements.h"
@@ -12,6 +13,7 @@
 #include "StatementSteps.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Figward {
 
@@ -34,6 +36,12 @@
     return !member.leavingSince_ || (primary && now - *member.leavingSince_ < lastWork);
 }
 
+/** Whether the member was told, when the connection was opened, that it runs for the session's organisation. */
+bool serves(ProxyState &state, ConnectionId connection, const ClientSession &session)
+{
+    return findConnection(state, connection)->organisation_ == session.organisation_;
+}
+
 std::vector<PlacementOption> placementOptions(ProxyState &state, const ClientSession &session, const SessionGroup &group, Time now)
 {
     const StatementRun &run = *session.run_;
@@ -60,22 +68,26 @@
         option.lagging_ =
             policies.pausesLagging_ && !primary && member->laggedBehind_ && floor && *floor >= *member->laggedBehind_ && now - member->laggedAt_ < laggingPause;
         option.suspect_ = isInDoubt(*member) || (member->refusedAt_ && now - *member->refusedAt_ < fullTime);
-        option.idleConnection_ = !member->idle_.empty();
+        const auto ofOrganisation = std::ranges::count_if(member->idle_, [&](ConnectionId connection) { return serves(state, connection, session); });
+        option.idleConnection_ = ofOrganisation > 0;
+        const bool othersRest = std::cmp_less(ofOrganisation, member->idle_.size());
         const ConnectionPlan plan = planFor(*state.sessions_, *member, now);
         option.visited_ = plan.visits_;
-        option.mayOpen_ = member->connections_.size() < connectionsAllowed(plan, now - run.arrived_) && now >= member->openAfter_;
+        const bool hasRoom = member->connections_.size() < connectionsAllowed(plan, now - run.arrived_);
+        option.mayOpen_ = (hasRoom || othersRest) && now >= member->openAfter_;
         options.push_back(option);
     }
     return options;
 }
 
-/** Takes the idle connection whose values fit the session best. */
+/** Takes the idle connection of the session's organisation whose values fit best; there is one. */
 ConnectionId takeIdle(ProxyState &state, MemberState &member, const ClientSession &session)
 {
-    const auto fits = [&](ConnectionId id) { return findConnection(state, id)->values_ == session.values_; };
+    const auto may = [&](ConnectionId id) { return serves(state, id, session); };
+    const auto fits = [&](ConnectionId id) { return may(id) && findConnection(state, id)->values_ == session.values_; };
     auto best = std::ranges::find_if(member.idle_.rbegin(), member.idle_.rend(), fits);
     if (best == member.idle_.rend()) {
-        best = member.idle_.rbegin();
+        best = std::ranges::find_if(member.idle_.rbegin(), member.idle_.rend(), may);
     }
     const ConnectionId id = *best;
     member.idle_.erase(std::next(best).base());
@@ -161,6 +173,20 @@
     return true;
 }
 
+/** Opens a connection for the statement, in the place of one that rests for another organisation if there is no room, unless one is being opened that will serve. */
+void openFor(ProxyState &state, const ClientSession &session, MemberState &member, Time now, Effects &out)
+{
+    const auto opensFor = [&](ConnectionId id) { return findConnection(state, id)->use_ == MemberConnectionUse::Opening && serves(state, id, session); };
+    if (std::ranges::any_of(member.connections_, opensFor)) {
+        return;
+    }
+    const ConnectionPlan plan = planFor(*state.sessions_, member, now);
+    if (member.connections_.size() >= connectionsAllowed(plan, now - session.run_->arrived_)) {
+        closeOldestOfOthers(state, member, session.organisation_, out);
+    }
+    openStatementConnection(state, member, session.organisation_, now, out);
+}
+
 /** Places the statement, opens a connection for it, refuses it, or lets it wait; \p ahead others go before it. True while it waits. */
 bool placeOne(ProxyState &state, SessionGroup &group, ClientSession &session, unsigned ahead, Time now, Effects &out)
 {
@@ -173,12 +199,7 @@
     }
     const Placement placement = placeStatement(options);
     if (placement.open_) {
-        MemberState &member = *findMember(state, *placement.open_);
-        const bool opens =
-            std::ranges::any_of(member.connections_, [&](ConnectionId id) { return findConnection(state, id)->use_ == MemberConnectionUse::Opening; });
-        if (!opens) {
-            openMemberConnection(state, member, false, now, out);
-        }
+        openFor(state, session, *findMember(state, *placement.open_), now, out);
     }
     if (!placement.run_) {
         return true;
@@ -195,6 +216,9 @@
 
 std::string whyItWaits(ProxyState &state, const ClientSession &session, Time now)
 {
+    if (waitsForPermit(*state.sessions_, session)) {
+        return "no VM that holds the organisation's quota has answered";
+    }
     const SessionGroup *group = findGroup(state, session.route_.service_);
     if (group == nullptr || group->members_.empty()) {
         return "no member of its group is known";
--- a/src/StatementLog.cpp
+++ b/src/StatementLog.cpp
@@ -53,6 +53,9 @@
     for (LogField &field : inputs(state, session, run, now)) {
         line.fields_.push_back(std::move(field));
     }
+    if (session.organisation_ != OrganisationId()) {
+        line.fields_.push_back({"organisation", session.organisation_.value()});
+    }
     return line;
 }
 
--- a/src/StatementOutcome.cpp
+++ b/src/StatementOutcome.cpp
@@ -1,6 +1,7 @@
 #include "StatementOutcome.h"
 
 #include "MemberConnections.h"
+#include "OrganisationQuota.h"
 #include "ProxyState.h"
 #include "SessionService.h"
 #include "SessionStatements.h"
@@ -58,6 +59,7 @@
 
 void leaveWaiting(ProxyState &state, const ClientSession &session)
 {
+    leaveAdmission(*state.sessions_, session);
     if (SessionGroup *group = findGroup(state, session.route_.service_)) {
         std::erase(group->waiting_, session.key_);
     }
--- a/src/StoreReads.cpp
+++ b/src/StoreReads.cpp
@@ -3,9 +3,9 @@
 #include "GroupLeadership.h"
 #include "MemberDirectoryUpdate.h"
 #include "ProxyState.h"
+#include "SessionAccess.h"
 #include "SessionHeartbeats.h"
 #include "SessionService.h"
-#include "SessionStatements.h"
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
@@ -184,7 +184,7 @@
                                [](const auto &entry) { return !entry.second.peer_.empty() && std::holds_alternative<Request>(entry.second.request_); });
 }
 
-void onConfigurationRead(ProxyState &state, const ConfigurationRead &read, Effects &out)
+void onConfigurationRead(ProxyState &state, const ConfigurationRead &read, Time now, Effects &out)
 {
     SessionServiceState &sessions = *state.sessions_;
     sessions.configurationRevision_ = std::max(sessions.configurationRevision_, read.revision_);
@@ -198,7 +198,7 @@
                               {{"version", absl::StrCat(read.configuration_->version_.value())},
                                {"revision", absl::StrCat(read.revision_)},
                                {"databases", absl::StrCat(read.configuration_->databases_.size())}}});
-    acceptWaitingSessions(state, out);
+    onConfigurationInForce(state, now, out);
 }
 
 /** Tells of a read that brought a newer configuration, failed, or took long; a watch that ends without a change is none. */
@@ -434,7 +434,7 @@
         if (call.peer_.empty()) {
             noteConfigurationChecked(state, call.sentAt_);
         }
-        onConfigurationRead(state, *read, out);
+        onConfigurationRead(state, *read, now, out);
     } else if (const auto *directory = std::get_if<MemberDirectory>(&answer.content_)) {
         updateDirectory(state, *directory, now, out);
         if (call.peer_.empty()) {
--- /dev/null
+++ b/src/TokenBucket.cpp
@@ -0,0 +1,37 @@
+#include "TokenBucket.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Figward {
+
+namespace {
+
+/** Of a bucket that hardly fills: clients are told nothing longer. */
+constexpr Duration longestWait = std::chrono::seconds(10);
+
+} // namespace
+
+void refill(TokenBucket &bucket, const BucketRate &rate, Time now)
+{
+    const double seconds = std::chrono::duration<double>(std::max(Duration(0), now - bucket.filledAt_)).count();
+    bucket.tokens_ = std::min(rate.capacity_, bucket.tokens_ + rate.perSecond_ * seconds);
+    bucket.filledAt_ = std::max(bucket.filledAt_, now);
+}
+
+unsigned takeTokens(TokenBucket &bucket, unsigned wanted)
+{
+    const auto taken = std::min(wanted, static_cast<unsigned>(std::max(0.0, std::floor(bucket.tokens_))));
+    bucket.tokens_ -= taken;
+    return taken;
+}
+
+Duration untilNextToken(const TokenBucket &bucket, const BucketRate &rate)
+{
+    const double missing = std::max(0.0, 1.0 - bucket.tokens_);
+    const double longest = std::chrono::duration<double>(longestWait).count();
+    const double seconds = rate.perSecond_ > 0 ? std::min(longest, missing / rate.perSecond_) : longest;
+    return missing > 0 ? std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds)) : Duration(0);
+}
+
+} // namespace Figward
--- a/src/WireHeartbeat.cpp
+++ b/src/WireHeartbeat.cpp
@@ -2,12 +2,16 @@
 
 #include "Protocol.h"
 
+#include <algorithm>
 #include <heartbeat.pb.h>
 
 namespace Figward::Wire {
 
 namespace {
 
+/** More operations or tokens are in no request that makes sense; a number that is none reads as zero. */
+constexpr double mostWanted = 1e6;
+
 std::uint64_t micros(Duration duration)
 {
     return duration.count() < 0 ? 0 : static_cast<std::uint64_t>(duration.count());
@@ -72,6 +76,52 @@
     return group;
 }
 
+VmHeartbeat decodeHeartbeat(const v1::Beat &in)
+{
+    VmHeartbeat heartbeat;
+    heartbeat.name_ = in.name();
+    heartbeat.from_ = VmId(in.incarnation());
+    heartbeat.address_ = in.address();
+    heartbeat.zone_ = ZoneId(in.zone());
+    heartbeat.sent_ = Time(Duration(in.sent()));
+    heartbeat.echo_ = Time(Duration(in.echo()));
+    heartbeat.echoOf_ = VmId(in.echo_of());
+    heartbeat.configuration_ = ConfigVersion(in.configuration());
+    if (in.configuration_age() != 0) {
+        heartbeat.configurationAge_ = duration(in.configuration_age() - 1);
+    }
+    heartbeat.directoryMark_ = in.directory_mark();
+    if (in.directory_age() != 0) {
+        heartbeat.directoryAge_ = duration(in.directory_age() - 1);
+    }
+    heartbeat.interval_ = in.interval() == 0 ? heartbeatInterval : duration(in.interval());
+    heartbeat.leaving_ = in.leaving();
+    heartbeat.answerNow_ = in.answer_now();
+    for (const v1::GroupBeat &group : in.groups()) {
+        heartbeat.groups_.push_back(decodeGroup(group));
+    }
+    return heartbeat;
+}
+
+AdmissionRequest decodeAdmissionRequest(const v1::Beat &in)
+{
+    const v1::AdmissionRequest &body = in.admission_request();
+    AdmissionRequest request{in.name(), VmId(in.incarnation()), in.address(), ZoneId(in.zone()), OrganisationId(body.organisation())};
+    request.number_ = body.number();
+    request.wanted_ = std::clamp(body.wanted(), 0.0, mostWanted);
+    request.lends_ = body.lends();
+    return request;
+}
+
+AdmissionGrant decodeAdmissionGrant(const v1::Beat &in)
+{
+    const v1::AdmissionGrant &body = in.admission_grant();
+    AdmissionGrant grant{VmId(in.incarnation()), VmId(body.to()), OrganisationId(body.organisation()), body.number()};
+    grant.granted_ = std::clamp(body.granted(), 0.0, mostWanted);
+    grant.nextIn_ = duration(body.next_in());
+    return grant;
+}
+
 } // namespace
 
 std::string encodeHeartbeat(const VmHeartbeat &heartbeat)
@@ -97,36 +147,48 @@
     return out.SerializeAsString();
 }
 
-std::optional<VmHeartbeat> decodeHeartbeat(std::string_view datagram)
+std::string encodeAdmissionRequest(const AdmissionRequest &request)
+{
+    v1::Beat out;
+    out.set_name(request.name_);
+    out.set_incarnation(request.from_.value());
+    out.set_address(request.address_);
+    out.set_zone(request.zone_.value());
+    v1::AdmissionRequest &body = *out.mutable_admission_request();
+    body.set_organisation(request.organisation_.value());
+    body.set_number(request.number_);
+    body.set_wanted(request.wanted_);
+    body.set_lends(request.lends_);
+    return out.SerializeAsString();
+}
+
+std::string encodeAdmissionGrant(const AdmissionGrant &grant)
+{
+    v1::Beat out;
+    out.set_incarnation(grant.from_.value());
+    v1::AdmissionGrant &body = *out.mutable_admission_grant();
+    body.set_to(grant.to_.value());
+    body.set_organisation(grant.organisation_.value());
+    body.set_number(grant.number_);
+    body.set_granted(grant.granted_);
+    body.set_next_in(micros(grant.nextIn_));
+    return out.SerializeAsString();
+}
+
+std::optional<VmDatagram> decodeDatagram(std::string_view datagram)
 {
     v1::Beat in;
     const bool complete = in.ParseFromArray(datagram.data(), static_cast<int>(datagram.size()));
-    if (!complete || in.name().empty() || in.incarnation() == 0 || in.address().empty()) {
+    if (!complete || in.incarnation() == 0) {
         return std::nullopt;
     }
-    VmHeartbeat heartbeat;
-    heartbeat.name_ = in.name();
-    heartbeat.from_ = VmId(in.incarnation());
-    heartbeat.address_ = in.address();
-    heartbeat.zone_ = ZoneId(in.zone());
-    heartbeat.sent_ = Time(Duration(in.sent()));
-    heartbeat.echo_ = Time(Duration(in.echo()));
-    heartbeat.echoOf_ = VmId(in.echo_of());
-    heartbeat.configuration_ = ConfigVersion(in.configuration());
-    if (in.configuration_age() != 0) {
-        heartbeat.configurationAge_ = duration(in.configuration_age() - 1);
-    }
-    heartbeat.directoryMark_ = in.directory_mark();
-    if (in.directory_age() != 0) {
-        heartbeat.directoryAge_ = duration(in.directory_age() - 1);
+    if (in.has_admission_grant()) {
+        return decodeAdmissionGrant(in);
     }
-    heartbeat.interval_ = in.interval() == 0 ? heartbeatInterval : duration(in.interval());
-    heartbeat.leaving_ = in.leaving();
-    heartbeat.answerNow_ = in.answer_now();
-    for (const v1::GroupBeat &group : in.groups()) {
-        heartbeat.groups_.push_back(decodeGroup(group));
+    if (in.name().empty() || in.address().empty()) {
+        return std::nullopt;
     }
-    return heartbeat;
+    return in.has_admission_request() ? VmDatagram(decodeAdmissionRequest(in)) : VmDatagram(decodeHeartbeat(in));
 }
 
 } // namespace Figward::Wire
--- a/test/correctness/LineProtocolCarriesStatements.cpp
+++ b/test/correctness/LineProtocolCarriesStatements.cpp
@@ -54,7 +54,8 @@
     read.text_ = "READ 1a4";
     EXPECT_EQ(formatMemberRequest(read), "QUERY 5c0e AFTER 3.1207 READ 1a4\r\n");
     EXPECT_EQ(formatMemberRequest({.verb_ = MemberVerb::Status}), "QUERY - STATUS\r\n");
-    EXPECT_EQ(formatMemberStart(ServiceId("huvo11a"), MemberId("i-7f")), "START huvo11a figward i-7f\r\n");
+    EXPECT_EQ(formatMemberStart(ServiceId("huvo11a"), OrganisationId(), MemberId("i-7f")), "START huvo11a figward i-7f\r\n");
+    EXPECT_EQ(formatMemberStart(ServiceId("huvo11a"), OrganisationId("miny420"), MemberId("i-7f")), "START huvo11a miny420 i-7f\r\n");
 }
 
 TEST(LineProtocolCarriesStatements, andTheirReplies)
--- a/test/error/PlatformInputIsMalformed.cpp
+++ b/test/error/PlatformInputIsMalformed.cpp
@@ -153,7 +153,7 @@
     heartbeat.address_ = "10.0.0.1:80";
     heartbeat.groups_.resize(2);
     const std::string datagram = Wire::encodeHeartbeat(heartbeat);
-    ASSERT_TRUE(Wire::decodeHeartbeat(datagram).has_value());
+    ASSERT_TRUE(Wire::decodeDatagram(datagram).has_value());
     unsigned configurations = 0;
     for (int round = 0; round < 20000; ++round) {
         parseClientLine(mutate("QUERY 5c0e PREPARE s1 WRITE q2c", random));
@@ -167,7 +167,7 @@
         configurations += object && readConfiguration(object->spec_) ? 1 : 0;
         readList(mutate(R"({"items":[],"has_more":false,"store_revision":530})", random));
         readEvents(mutate(R"({"events":[{"deleted":false,"object":{}}],"store_revision":533})", random));
-        Wire::decodeHeartbeat(mutate(datagram, random));
+        Wire::decodeDatagram(mutate(datagram, random));
     }
     EXPECT_GT(configurations, 0U) << "some changes do no harm";
     EXPECT_LT(configurations, 20000U);
--- a/test/support/SessionWorld.cpp
+++ b/test/support/SessionWorld.cpp
@@ -42,6 +42,14 @@
         add("dispatch", Consistency::ReadYourWrites, std::chrono::seconds(1), std::chrono::milliseconds(2500), 2);
         configuration.services_[serviceOf(group)] = ServiceLimits{config.maxConnections_, config.syncReplicas_};
     }
+    if (config.organisations_ != 0) {
+        configuration.organisations_.emplace();
+    }
+    for (unsigned organisation = 0; organisation < config.organisations_; ++organisation) {
+        const OrganisationId id = SessionWorld::organisationId(organisation);
+        configuration.organisations_->limits_[id] = config.limits_;
+        configuration.organisations_->keys_[digestOf(SessionWorld::keyOf(organisation))] = id;
+    }
     return configuration;
 }
 
@@ -260,6 +268,8 @@
         },
         [&](const SendToMember &body) { sendToMember(vm, body); },
         [&](const SendHeartbeat &body) { sendHeartbeat(vm, body); },
+        [&](const SendAdmissionRequest &body) { sendDatagram(vm, body.address_, body.request_); },
+        [&](const SendAdmissionGrant &body) { sendDatagram(vm, body.address_, body.grant_); },
         [&](const CallStore &body) { body.call_.peer_.empty() ? callStore(vm, body.call_) : callMirror(vm, body.call_); },
         [&](const CallPromotion &body) { callPromotion(vm, body); },
         [&](const SetReady &body) { vms_[vm].ready_ = body.ready_; },
@@ -271,10 +281,15 @@
 void SessionWorld::sendHeartbeat(unsigned vm, const SendHeartbeat &effect)
 {
     ++heartbeats_;
-    const unsigned to = static_cast<unsigned>(std::stoul(effect.address_));
-    schedule(now_ + config_.networkDelay_, [this, vm, to, effect] {
+    sendDatagram(vm, effect.address_, HeartbeatReceived{effect.heartbeat_});
+}
+
+void SessionWorld::sendDatagram(unsigned vm, const std::string &address, const SessionEvent &event)
+{
+    const unsigned to = static_cast<unsigned>(std::stoul(address));
+    schedule(now_ + config_.networkDelay_, [this, vm, to, event] {
         if (!vmCuts_.contains(std::minmax(vm, to))) {
-            give(to, SessionEvent(HeartbeatReceived{effect.heartbeat_}));
+            give(to, event);
         }
     });
 }
--- a/test/support/SessionWorld.h
+++ b/test/support/SessionWorld.h
@@ -30,6 +30,8 @@
     unsigned slots_ = 0; ///< Openings and statements that a member works on at once, the others in their order; zero: any number.
     Duration openTime_ = std::chrono::milliseconds(12); ///< That an opening takes at the member.
     unsigned syncReplicas_ = 0;
+    unsigned organisations_ = 0; ///< "org-0" and on, each with the key "key-0" and on; zero: the configuration knows none.
+    OrganisationLimits limits_; ///< Of each organisation.
     std::uint64_t seed_ = 1;
     Duration networkDelay_ = std::chrono::milliseconds(1);
     Duration workTime_ = std::chrono::milliseconds(12);
@@ -51,6 +53,7 @@
     SessionKey key_;
     std::string database_;
     unsigned group_ = 0; ///< Of the database.
+    std::string keyName_; ///< The key that it named; empty: none.
     std::optional<LogPoint> lastCommit_;
     bool open_ = false;
     bool refused_ = false;
@@ -80,7 +83,7 @@
      * Opens a session at \p vm for \p database: "ledger" (primary), "history" (1,500 ms) or "dispatch" (own writes, 2,500 ms) of the first group, "ledger-1" and
      * so on of the others.
      */
-    std::size_t open(unsigned vm, const std::string &database);
+    std::size_t open(unsigned vm, const std::string &database, const std::string &key = {});
     /** Sends a statement; returns its id. */
     std::string send(std::size_t client, StatementKind kind, const std::string &text = {});
     /** The member works on the statement with this id for so long, in place of workTime_. */
@@ -154,6 +157,14 @@
     /** Compares what clients were told with the members' logs. */
     void checkLogs();
 
+    /** When members ran operations of the organisation, in their order. */
+    [[nodiscard]] const std::vector<Time> &operationsOf(const OrganisationId &organisation);
+    /** Most operations of the organisation that members ran in any span of \p window. */
+    [[nodiscard]] std::size_t mostOperations(const OrganisationId &organisation, Duration window);
+    /** "org-N" and its key "key-N". */
+    static OrganisationId organisationId(unsigned organisation);
+    static std::string keyOf(unsigned organisation);
+
     static MemberId memberId(unsigned member);
     /** Name of a database of \p group, such as "ledger-1". */
     static std::string databaseOf(const std::string &kind, unsigned group);
@@ -171,6 +182,7 @@
         bool ready_ = false;
         std::vector<EventBody> held_; ///< Came while it was frozen.
         std::map<ConnectionId, unsigned> connections_;
+        std::map<ConnectionId, OrganisationId> callers_; ///< For whom each connection was opened.
     };
     struct Scheduled
     {
@@ -235,7 +247,11 @@
     StoreAnswered executeWrite(CallId id, const WriteClaim &write);
     void sendHeartbeat(unsigned vm, const SendHeartbeat &effect);
     void callPromotion(unsigned vm, const CallPromotion &effect);
+    void sendDatagram(unsigned vm, const std::string &address, const SessionEvent &event);
+    /** Notes for whom a statement runs, and compares it with whom the member was told when the connection was opened. */
+    void checkOrganisation(unsigned vm, const SendToMember &effect, const SessionReply &reply);
     void takeAnswer(unsigned vm, const AnswerSession &effect);
+    void noteOperation(const WorldClient &client, const ClientStatement &statement, bool begins);
     void noteAcknowledged(WorldClient &client, const ClientAnswer &answer);
     void checkRead(const WorldClient &client, const ClientAnswer &answer);
     void violate(const std::string &what);
@@ -279,6 +295,9 @@
     std::vector<std::string> violations_;
     std::vector<std::pair<LogNumber, std::string>> log_;
     std::map<unsigned, Time> lastRuns_;
+    std::map<std::string, OrganisationId> askedBy_; ///< By statement id, where its client named a key.
+    std::set<std::string> operations_; ///< Ids of statements that are, or begin, an operation.
+    std::map<OrganisationId, std::vector<Time>> operationsRun_;
     std::vector<std::string> story_;
     std::string logText_;
     BeforeEvent beforeEvent_;
--- a/test/support/SessionWorldClients.cpp
+++ b/test/support/SessionWorldClients.cpp
@@ -6,16 +6,17 @@
 
 namespace Figward::Testing {
 
-std::size_t SessionWorld::open(unsigned vm, const std::string &database)
+std::size_t SessionWorld::open(unsigned vm, const std::string &database, const std::string &key)
 {
     WorldClient client;
     client.vm_ = vm;
     client.key_ = SessionKey(clients_.size() + 1);
     client.database_ = database;
+    client.keyName_ = key;
     const std::size_t number = database.find('-');
     client.group_ = number == std::string::npos ? 0 : static_cast<unsigned>(std::stoul(database.substr(number + 1)));
     clients_.push_back(client);
-    give(vm, SessionEvent(SessionOpened{client.key_, database}));
+    give(vm, SessionEvent(SessionOpened{client.key_, database, key.empty() ? std::nullopt : std::optional(digestOf(key))}));
     return clients_.size() - 1;
 }
 
@@ -43,6 +44,8 @@
         transactionNeeds_.erase(number);
     }
     const bool inTransaction = transactionNeeds_.contains(number);
+    const bool begins = statement.kind_ == StatementKind::Begin || statement.kind_ == StatementKind::BeginRead;
+    noteOperation(client, statement, begins || !inTransaction);
     if (inTransaction && statement.kind_ == StatementKind::Write) {
         transactionWrites_[number] = statement.id_;
     }
--- a/test/support/SessionWorldMembers.cpp
+++ b/test/support/SessionWorldMembers.cpp
@@ -26,6 +26,7 @@
 {
     const unsigned member = numberOf(effect.member_);
     vms_[vm].connections_[effect.connection_] = member;
+    vms_[vm].callers_[effect.connection_] = effect.organisation_;
     const std::uint64_t incarnation = vms_[vm].incarnation_;
     if (vmMemberCuts_.contains({vm, member})) {
         if (cutsReset_) {
@@ -125,6 +126,7 @@
     if (!answer) {
         return;
     }
+    checkOrganisation(vm, effect, answer->reply_);
     schedule(now_ + config_.networkDelay_, [this, vm, incarnation, member, effect, answer] {
         if (!vmMemberCuts_.contains({vm, member})) {
             give(vm, incarnation, SessionEvent(MemberReplyArrived{effect.connection_, answer->reply_, answer->report_}));
--- a/tools/generate.sh
+++ b/tools/generate.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/.."
 protoc -I proto --cpp_out=src/generated --grpc_out=src/generated \
     --plugin=protoc-gen-grpc="$(command -v grpc_cpp_plugin)" proto/*.proto
-rm -f src/generated/request.grpc.pb.* # It defines no service.
+rm -f src/generated/{request,heartbeat}.grpc.pb.* # They define no service.
