--- /dev/null
+++ b/test/performance/OwnersTrial.cpp
@@ -0,0 +1,380 @@
+/** \file
+ * Compares, in a model in virtual time, who keeps the connections to members when a connection belongs to one organisation: every VM for itself, or owners to
+ * which the other VMs send their statements.
+ *
+ * The model has members with slots and a limit of connections, openings that take a slot, statements of three kinds, and organisations of unequal size. It has no
+ * faults, leases or positions: it answers only how often a connection is met again, what openings cost, and how long statements wait.
+ *
+ * Usage: figward_owners_trial [SECONDS]. Prints one line for each deployment, load and way.
+ */
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdint>
+#include <cstdio>
+#include <cstdlib>
+#include <deque>
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+#include <tuple>
+#include <vector>
+
+namespace {
+
+constexpr unsigned zones = 3;
+constexpr double inZoneMs = 0.2; ///< One way.
+constexpr double betweenZonesMs = 1.4;
+constexpr double openingMs = 12;
+constexpr double fullPauseMs = 30; ///< Mean, after a member refused a connection as full.
+constexpr double budgetMs = 1500;
+
+/** Who keeps connections. */
+enum class Way {
+    EachVm, ///< As it stands: a VM opens for itself.
+    GroupAndZone, ///< One owner for each group and zone.
+    OrganisationAndZone, ///< One for each organisation, group and zone.
+    Organisation, ///< One for each organisation and group, in any zone.
+};
+constexpr std::array ways{Way::EachVm, Way::GroupAndZone, Way::OrganisationAndZone, Way::Organisation};
+
+const char *nameOf(Way way)
+{
+    constexpr std::array names{"each VM", "owner by group and zone", "owner by organisation, group, zone", "owner by organisation, group"};
+    return names[static_cast<std::size_t>(way)];
+}
+
+struct Deployment
+{
+    unsigned vms_ = 66;
+    unsigned groups_ = 8;
+    unsigned organisations_ = 75;
+    unsigned slots_ = 3;
+    unsigned connections_ = 42;
+    double load_ = 1; ///< Of what takes 29% of all slots by work alone.
+    double resting_ = 0.25; ///< Part of a member's connections that rest on average.
+};
+
+struct Kind
+{
+    double part_;
+    double workMs_;
+    double primary_; ///< Part that only the primary may run.
+    double aimMs_;
+};
+constexpr std::array kinds{Kind{0.135, 6, 1, 150}, Kind{0.234, 30, 0, 500}, Kind{0.631, 18, 0.2, 250}};
+constexpr double usualWork = 0.29;
+
+struct Statement
+{
+    std::size_t kind_ = 0;
+    unsigned organisation_ = 0;
+    unsigned vm_ = 0;
+    unsigned member_ = 0;
+    double arrived_ = 0;
+};
+
+struct Counts
+{
+    std::array<unsigned, kinds.size()> asked_{};
+    std::array<unsigned, kinds.size()> inAim_{};
+    std::uint64_t openings_ = 0;
+    std::uint64_t refusals_ = 0; ///< Connections, by full members.
+    std::uint64_t waited_ = 0; ///< Statements that found no connection at rest.
+    double workMs_ = 0; ///< Of slots.
+    std::uint64_t hops_ = 0;
+    std::uint64_t hopsBetweenZones_ = 0;
+    std::map<unsigned, std::uint64_t> owned_; ///< Statements by owner VM.
+};
+
+struct Member
+{
+    std::vector<double> slotFree_;
+    unsigned connections_ = 0;
+};
+
+/** Who holds a connection, at which member, for whom. */
+using Pool = std::tuple<unsigned, unsigned, unsigned>;
+
+class Model
+{
+public:
+    Model(const Deployment &deployment, Way way, std::uint64_t seed)
+        : deployment_(deployment)
+        , way_(way)
+        , random_(seed)
+        , members_(deployment.groups_ * zones)
+    {
+        for (Member &member : members_) {
+            member.slotFree_.assign(deployment.slots_, 0);
+        }
+        std::vector<double> sizes;
+        for (unsigned rank = 1; rank <= deployment.organisations_; ++rank) {
+            sizes.push_back(1.0 / rank); // A few carry half.
+        }
+        organisations_ = std::discrete_distribution<unsigned>(sizes.begin(), sizes.end());
+    }
+
+    Counts run(double ms)
+    {
+        double meanWork = 0;
+        for (const Kind &kind : kinds) {
+            meanWork += kind.part_ * kind.workMs_;
+        }
+        perMs_ = deployment_.load_ * usualWork * static_cast<double>(members_.size()) * deployment_.slots_ / meanWork;
+        end_ = ms;
+        arrive(0);
+        while (!events_.empty()) {
+            const auto [at, order, step] = events_.top();
+            events_.pop();
+            now_ = at;
+            step();
+        }
+        return counts_;
+    }
+
+private:
+    struct Event
+    {
+        double at_;
+        std::uint64_t order_;
+        std::function<void()> step_;
+        bool operator<(const Event &other) const
+        {
+            return std::tie(at_, order_) > std::tie(other.at_, other.order_);
+        }
+    };
+
+    void schedule(double at, std::function<void()> step)
+    {
+        events_.push({at, order_++, std::move(step)});
+    }
+
+    double uniform()
+    {
+        return std::uniform_real_distribution<double>()(random_);
+    }
+
+    void arrive(double after)
+    {
+        const double at = after + std::exponential_distribution<double>(perMs_)(random_);
+        if (at < end_) {
+            schedule(at, [this, at] {
+                begin();
+                arrive(at);
+            });
+        }
+    }
+
+    void begin()
+    {
+        Statement statement;
+        const double part = uniform();
+        statement.kind_ = part < kinds[0].part_ ? 0 : part < kinds[0].part_ + kinds[1].part_ ? 1 : 2;
+        statement.organisation_ = organisations_(random_);
+        statement.vm_ = static_cast<unsigned>(random_() % deployment_.vms_);
+        statement.arrived_ = now_;
+        const auto group = static_cast<unsigned>(random_() % deployment_.groups_);
+        const unsigned primary = group % zones;
+        unsigned place = statement.vm_ % zones;
+        if (uniform() < kinds[statement.kind_].primary_) {
+            place = primary;
+        } else if (place == primary) {
+            place = (place + 1 + static_cast<unsigned>(random_() % 2)) % zones; // Reads leave the primary its room.
+        }
+        statement.member_ = group * zones + place;
+        ++counts_.asked_[statement.kind_];
+        const unsigned owner = ownerOf(statement, group);
+        const double hop = hopMs(statement.vm_, owner);
+        schedule(now_ + hop, [this, statement, owner] { placeStatement(statement, owner); });
+    }
+
+    unsigned vmOf(std::uint64_t key, unsigned zone, bool anyZone) const
+    {
+        const std::uint64_t hash = std::hash<std::uint64_t>()(key * 0x9E3779B97F4A7C15ULL) >> 20U;
+        if (anyZone) {
+            return static_cast<unsigned>(hash % deployment_.vms_);
+        }
+        const unsigned inZone = std::max(1U, (deployment_.vms_ + zones - 1 - zone) / zones);
+        return static_cast<unsigned>(hash % inZone) * zones + zone;
+    }
+
+    unsigned ownerOf(const Statement &statement, unsigned group) const
+    {
+        const unsigned zone = statement.vm_ % zones;
+        const std::uint64_t pair = std::uint64_t{statement.organisation_} * deployment_.groups_ + group + 1;
+        switch (way_) {
+        case Way::EachVm:
+            return statement.vm_;
+        case Way::GroupAndZone:
+            return vmOf(group + 1, zone, false);
+        case Way::OrganisationAndZone:
+            return vmOf(pair, zone, false);
+        case Way::Organisation:
+            return vmOf(pair, zone, true);
+        }
+        return statement.vm_;
+    }
+
+    double hopMs(unsigned from, unsigned to)
+    {
+        if (from == to) {
+            return 0;
+        }
+        ++counts_.hops_;
+        const bool same = from % zones == to % zones;
+        counts_.hopsBetweenZones_ += same ? 0 : 1;
+        return same ? inZoneMs : betweenZonesMs;
+    }
+
+    /** How long a connection rests: so that the part that is wanted rests on average, if all holders come as often as this one. */
+    double restMs() const
+    {
+        const double holders = way_ == Way::EachVm         ? deployment_.vms_
+                               : way_ == Way::Organisation ? deployment_.organisations_
+                                                           : zones * deployment_.organisations_;
+        const double perHolder = perMs_ / static_cast<double>(members_.size()) / holders;
+        const double reuse = std::min(0.95, deployment_.resting_ * deployment_.connections_ / holders);
+        const double longest = way_ == Way::EachVm ? 1000 : 10000;
+        return std::min(longest, -std::log(1 - reuse) / perHolder);
+    }
+
+    double slotDone(Member &member, double work)
+    {
+        const auto first = std::ranges::min_element(member.slotFree_);
+        *first = std::max(now_, *first) + work;
+        counts_.workMs_ += work;
+        return *first;
+    }
+
+    void placeStatement(const Statement &statement, unsigned owner)
+    {
+        ++counts_.owned_[owner];
+        const Pool pool{owner, statement.member_, statement.organisation_};
+        std::deque<std::uint64_t> &idle = idle_[pool];
+        while (!idle.empty()) {
+            const std::uint64_t connection = idle.back();
+            idle.pop_back();
+            if (resting_.erase(connection) > 0) {
+                work(statement, pool, connection);
+                return;
+            }
+        }
+        ++counts_.waited_;
+        open(statement, pool);
+    }
+
+    void open(const Statement &statement, const Pool &pool)
+    {
+        if (now_ - statement.arrived_ > budgetMs) {
+            return;
+        }
+        Member &member = members_[statement.member_];
+        if (member.connections_ >= deployment_.connections_) {
+            ++counts_.refusals_;
+            schedule(now_ + std::exponential_distribution<double>(1 / fullPauseMs)(random_), [this, statement, pool] { open(statement, pool); });
+            return;
+        }
+        ++member.connections_;
+        ++counts_.openings_;
+        schedule(slotDone(member, openingMs), [this, statement, pool] { work(statement, pool, nextConnection_++); });
+    }
+
+    void work(const Statement &statement, const Pool &pool, std::uint64_t connection)
+    {
+        const Kind &kind = kinds[statement.kind_];
+        const double done = slotDone(members_[statement.member_], std::exponential_distribution<double>(1 / kind.workMs_)(random_));
+        schedule(done, [this, statement, pool, connection] {
+            const double back = hopMs(std::get<0>(pool), statement.vm_);
+            counts_.inAim_[statement.kind_] += now_ + back - statement.arrived_ <= kinds[statement.kind_].aimMs_ ? 1 : 0;
+            idle_[pool].push_back(connection);
+            resting_[connection] = true;
+            schedule(now_ + restMs(), [this, statement, connection, since = now_] { endRest(statement.member_, connection, since); });
+            restSince_[connection] = now_;
+        });
+    }
+
+    void endRest(unsigned member, std::uint64_t connection, double since)
+    {
+        const auto at = restSince_.find(connection);
+        const bool rested = at != restSince_.end() && at->second == since;
+        if (rested && resting_.erase(connection) > 0) {
+            restSince_.erase(at);
+            --members_[member].connections_;
+        }
+    }
+
+    Deployment deployment_;
+    Way way_;
+    std::mt19937_64 random_;
+    std::vector<Member> members_;
+    std::discrete_distribution<unsigned> organisations_;
+    double perMs_ = 0;
+    double end_ = 0;
+    double now_ = 0;
+    std::uint64_t order_ = 0;
+    std::uint64_t nextConnection_ = 1;
+    std::priority_queue<Event> events_;
+    std::map<Pool, std::deque<std::uint64_t>> idle_;
+    std::map<std::uint64_t, bool> resting_;
+    std::map<std::uint64_t, double> restSince_;
+    Counts counts_;
+};
+
+void print(const Deployment &deployment, Way way, double seconds)
+{
+    const Counts counts = Model(deployment, way, 1).run(seconds * 1000);
+    unsigned asked = 0;
+    for (const unsigned kind : counts.asked_) {
+        asked += kind;
+    }
+    std::uint64_t busiest = 0;
+    for (const auto &[vm, statements] : counts.owned_) {
+        busiest = std::max(busiest, statements);
+    }
+    const auto share = [&](std::size_t kind) { return counts.asked_[kind] == 0 ? 1.0 : static_cast<double>(counts.inAim_[kind]) / counts.asked_[kind]; };
+    std::printf("| %u | %u | %u | %.1f | %.2f | %s | %.3f | %.3f | %.3f | %.2f | %.2f | %.2f | %.2f | %.2f | %.1f |\n",
+                deployment.vms_,
+                deployment.groups_,
+                deployment.organisations_,
+                deployment.load_,
+                deployment.resting_,
+                nameOf(way),
+                share(0),
+                share(1),
+                share(2),
+                static_cast<double>(counts.openings_) / asked,
+                static_cast<double>(counts.refusals_) / asked,
+                static_cast<double>(counts.openings_) * openingMs / counts.workMs_,
+                static_cast<double>(counts.hops_) / asked,
+                static_cast<double>(counts.hopsBetweenZones_) / asked,
+                static_cast<double>(busiest) * deployment.vms_ / asked);
+    std::fflush(stdout);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const double seconds = argc > 1 ? std::atof(argv[1]) : 10;
+    std::puts("| VMs | groups | organisations | load | rests | way | records in aim | histories | checks | openings a statement | refused as full, a statement "
+              "| part of work that is openings | hops "
+              "a statement | between zones | busiest owner, of the mean |");
+    std::puts("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+    for (const auto &[vms, groups] : {std::pair(8U, 3U), {24U, 3U}, {66U, 8U}, {100U, 12U}, {295U, 20U}, {295U, 36U}}) {
+        for (const unsigned organisations : {1U, 75U}) {
+            for (const double load : {0.5, 1.0, 1.7}) {
+                for (const Way way : ways) {
+                    for (const double resting : {0.02, 0.25, 0.6}) {
+                        Deployment deployment{vms, groups, organisations};
+                        deployment.load_ = load;
+                        deployment.resting_ = resting;
+                        print(deployment, way, seconds);
+                    }
+                }
+            }
+        }
+    }
+    return 0;
+}
