--- a/src/GroupLeadership.cpp
+++ b/src/GroupLeadership.cpp
@@ -1,12 +1,11 @@
 #include "GroupLeadership.h"
 
 #include "CutOff.h"
-#include "MemberConnections.h"
 #include "PrimaryReplacement.h"
 #include "ProxyState.h"
 #include "Rendezvous.h"
 #include "SessionHeartbeats.h"
-#include "SessionService.h"
+#include "SessionLookup.h"
 #include "StoreReads.h"
 
 #include <absl/strings/str_cat.h>
--- a/src/MemberConnections.cpp
+++ b/src/MemberConnections.cpp
@@ -3,7 +3,7 @@
 #include "ConnectionSharing.h"
 #include "Event.h"
 #include "ProxyState.h"
-#include "SessionService.h"
+#include "SessionLookup.h"
 #include "StatementAnswers.h"
 #include "StatementSteps.h"
 
@@ -251,18 +251,6 @@
     return member.silent_ > 0 || member.unreachable_;
 }
 
-MemberConnection *findConnection(ProxyState &state, ConnectionId connection)
-{
-    const auto found = state.sessions_->connections_.find(connection);
-    return found == state.sessions_->connections_.end() ? nullptr : &found->second;
-}
-
-MemberState *findMember(ProxyState &state, const MemberId &member)
-{
-    const auto found = state.sessions_->members_.find(member);
-    return found == state.sessions_->members_.end() ? nullptr : &found->second;
-}
-
 void openStatementConnection(ProxyState &state, MemberState &member, const OrganisationId &organisation, Time now, Effects &out)
 {
     MemberConnection connection = newConnection(state, member, now);
--- a/src/MemberConnections.h
+++ b/src/MemberConnections.h
@@ -35,9 +35,5 @@
 void reviewMemberConnections(ProxyState &state, Time now, Effects &out);
 /** Whether the member did not answer what this VM asked of it last: reads go elsewhere, and it is asked for a sign of life until it gives one. */
 bool isInDoubt(const MemberState &member);
-/** The connection of that id, or null. */
-MemberConnection *findConnection(ProxyState &state, ConnectionId connection);
-/** The member of that id, or null. */
-MemberState *findMember(ProxyState &state, const MemberId &member);
 
 } // namespace Figward
--- a/src/MemberDirectoryUpdate.cpp
+++ b/src/MemberDirectoryUpdate.cpp
@@ -2,7 +2,7 @@
 
 #include "MemberConnections.h"
 #include "ProxyState.h"
-#include "SessionService.h"
+#include "SessionLookup.h"
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
--- a/src/OrganisationQuota.cpp
+++ b/src/OrganisationQuota.cpp
@@ -4,7 +4,7 @@
 #include "ProxyState.h"
 #include "Rendezvous.h"
 #include "SessionHeartbeats.h"
-#include "SessionStatements.h"
+#include "SessionLookup.h"
 #include "StatementOutcome.h"
 
 #include <absl/strings/str_cat.h>
--- a/src/PrimaryReplacement.cpp
+++ b/src/PrimaryReplacement.cpp
@@ -5,7 +5,7 @@
 #include "MemberConnections.h"
 #include "ProxyState.h"
 #include "SessionHeartbeats.h"
-#include "SessionService.h"
+#include "SessionLookup.h"
 #include "StoreReads.h"
 
 #include <absl/strings/str_cat.h>
--- a/src/SessionAccess.cpp
+++ b/src/SessionAccess.cpp
@@ -1,6 +1,7 @@
 #include "SessionAccess.h"
 
 #include "ProxyState.h"
+#include "SessionLookup.h"
 #include "SessionStatements.h"
 
 #include <absl/strings/str_cat.h>
--- a/src/SessionDrain.cpp
+++ b/src/SessionDrain.cpp
@@ -2,6 +2,7 @@
 
 #include "GroupLeadership.h"
 #include "ProxyState.h"
+#include "SessionLookup.h"
 #include "SessionStatements.h"
 #include "StatementOutcome.h"
 
--- a/src/SessionHeartbeats.cpp
+++ b/src/SessionHeartbeats.cpp
@@ -2,10 +2,9 @@
 
 #include "Delegates.h"
 #include "GroupLeadership.h"
-#include "MemberConnections.h"
 #include "PrimaryReplacement.h"
 #include "ProxyState.h"
-#include "SessionService.h"
+#include "SessionLookup.h"
 #include "StoreReads.h"
 
 #include <absl/strings/str_cat.h>
--- a/src/SessionService.cpp
+++ b/src/SessionService.cpp
@@ -12,6 +12,7 @@
 #include "SessionAccess.h"
 #include "SessionDrain.h"
 #include "SessionHeartbeats.h"
+#include "SessionLookup.h"
 #include "SessionStatements.h"
 #include "StatementDispatch.h"
 #include "StoreReads.h"
@@ -173,12 +174,6 @@
 
 } // namespace
 
-SessionGroup *findGroup(ProxyState &state, const ServiceId &group)
-{
-    const auto found = state.sessions_->groups_.find(group);
-    return found == state.sessions_->groups_.end() ? nullptr : &found->second;
-}
-
 void startSessionService(ProxyState &state, Time now, Effects &out)
 {
     state.sessions_->startedAt_ = now;
--- a/src/SessionService.h
+++ b/src/SessionService.h
@@ -20,7 +20,5 @@
 void onSessionTimer(ProxyState &state, const TimerTag &tag, Time now, Effects &out);
 /** What remains to be done after each event: statements that can be placed now, heartbeats that are due. */
 void settleSessions(ProxyState &state, Time now, Effects &out);
-/** The group of that service, or null. */
-SessionGroup *findGroup(ProxyState &state, const ServiceId &group);
 
 } // namespace Figward
--- a/src/SessionStatements.cpp
+++ b/src/SessionStatements.cpp
@@ -4,7 +4,7 @@
 #include "OrganisationQuota.h"
 #include "ProxyState.h"
 #include "SessionAccess.h"
-#include "SessionService.h"
+#include "SessionLookup.h"
 #include "StatementDispatch.h"
 #include "StatementNeeds.h"
 #include "StatementOutcome.h"
@@ -207,12 +207,6 @@
 
 } // namespace
 
-ClientSession *findSession(ProxyState &state, SessionKey key)
-{
-    const auto found = state.sessions_->sessions_.find(key);
-    return found == state.sessions_->sessions_.end() ? nullptr : &found->second;
-}
-
 void takeNextStatement(ProxyState &state, ClientSession &session, Time now, Effects &out)
 {
     session.lastActive_ = now;
--- a/src/SessionStatements.h
+++ b/src/SessionStatements.h
@@ -10,8 +10,6 @@
 
 struct ProxyState;
 
-/** The session, if the client has not closed it. */
-ClientSession *findSession(ProxyState &state, SessionKey key);
 /** A client sent a statement. */
 void onStatementArrived(ProxyState &state, const StatementArrived &arrived, Time now, Effects &out);
 /** A client is gone: what it has open is rolled back. */
--- a/src/StatementAnswers.cpp
+++ b/src/StatementAnswers.cpp
@@ -2,8 +2,7 @@
 
 #include "MemberConnections.h"
 #include "ProxyState.h"
-#include "SessionService.h"
-#include "SessionStatements.h"
+#include "SessionLookup.h"
 #include "StatementNeeds.h"
 #include "StatementOutcome.h"
 #include "StatementSteps.h"
--- a/src/StatementLog.cpp
+++ b/src/StatementLog.cpp
@@ -1,7 +1,7 @@
 #include "StatementLog.h"
 
 #include "ProxyState.h"
-#include "SessionService.h"
+#include "SessionLookup.h"
 #include "StatementNeeds.h"
 
 #include <absl/strings/str_cat.h>
--- a/src/StatementOutcome.cpp
+++ b/src/StatementOutcome.cpp
@@ -3,7 +3,7 @@
 #include "MemberConnections.h"
 #include "OrganisationQuota.h"
 #include "ProxyState.h"
-#include "SessionService.h"
+#include "SessionLookup.h"
 #include "SessionStatements.h"
 #include "StatementLog.h"
 
--- a/src/StoreReads.cpp
+++ b/src/StoreReads.cpp
@@ -5,7 +5,6 @@
 #include "ProxyState.h"
 #include "SessionAccess.h"
 #include "SessionHeartbeats.h"
-#include "SessionService.h"
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
--- a/test/performance/OwnersTrial.cpp
+++ b/test/performance/OwnersTrial.cpp
@@ -104,7 +104,7 @@
         : deployment_(deployment)
         , way_(way)
         , random_(seed)
-        , members_(deployment.groups_ * zones)
+        , members_(std::size_t{deployment.groups_} * zones)
     {
         for (Member &member : members_) {
             member.slotFree_.assign(deployment.slots_, 0);
