--- a/src/OrganisationQuota.cpp
+++ b/src/OrganisationQuota.cpp
@@ -19,7 +19,7 @@
 constexpr Duration askTimeout = std::chrono::milliseconds(100);
 /** Asked so often without an answer, a limiter counts as silent until it is heard again. */
 constexpr unsigned asksUntilSilent = 2;
-/** An operation waits this long for its organisation's next permit: shorter than any aim, and than the way of a refusal to the client and back. */
+/** An operation waits this long for its organisation's next permit: a small part of interactive aims, and less than clients pause before they ask again. */
 constexpr Duration permitPatience = std::chrono::milliseconds(50);
 /** A limiter asks others for tokens no more often than this. */
 constexpr Duration borrowInterval = std::chrono::milliseconds(25);
