--- a/src/WireHeartbeat.cpp
+++ b/src/WireHeartbeat.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/** More operations or tokens are in no request that makes sense; a number that is none reads as zero. */
+/** More operations or tokens are in no request that makes sense. */
 constexpr double mostWanted = 1e6;
 
 std::uint64_t micros(Duration duration)
