A configuration that is late is told of: 205 behind, 206 unchecked, behind_ms in 201, and a gauge

Whether a VM waits for a silent source, believes a check that was none, or heard nothing at all could be told apart only where a read had ended: 203, then nothing for three seconds. 205 names the version, how many VMs have it, whom this one waits for and how old the newest check is, after a second; 206 says that no check is known of. Nothing that decides is changed.

--- a/src/LogEvents.h
+++ b/src/LogEvents.h
@@ -33,6 +33,8 @@
     ConfigurationRefused = 202,
     ConfigurationNewerHeard = 203,
     ConfigurationFetched = 204,
+    ConfigurationBehind = 205,
+    ConfigurationUnchecked = 206,
     VmListChanged = 301,
     OwnershipBegan = 302,
     OwnershipEnds = 303,
--- a/src/SessionHeartbeats.cpp
+++ b/src/SessionHeartbeats.cpp
@@ -317,6 +317,7 @@
     }
     const ConfigVersion mine = state.sessions_->configuration_ ? state.sessions_->configuration_->version_ : ConfigVersion(0);
     if (mine < heartbeat.configuration_) {
+        noteBehind(*state.sessions_, now);
         noteNewerHeard(state, heartbeat, mine, out);
         fetchConfiguration(state, heartbeat.address_, now, out);
     }
--- a/src/SessionMetrics.cpp
+++ b/src/SessionMetrics.cpp
@@ -77,6 +77,8 @@
     , waiting_(gauge(registry, "figward_statements_waiting", "Statements that wait for a connection"))
     , configurationVersion_(gauge(registry, "figward_session_configuration_version", "Version of the configuration in force"))
     , configurationAge_(gauge(registry, "figward_configuration_age_seconds", "Since the configuration was last known to be the latest"))
+    , configurationBehind_(
+          gauge(registry, "figward_configuration_behind_seconds", "Since this VM first heard of a newer configuration that it lacks; zero: none"))
     , membersAge_(gauge(registry, "figward_member_list_age_seconds", "Since the newest list of members was asked for, of the store or of another VM"))
     , vmsHeard_(gauge(registry, "figward_vms_heard", "Other VMs that were heard within a second"))
     , ready_(gauge(registry, "figward_ready", "Whether the VM says that it takes new clients"))
@@ -189,6 +191,7 @@
         configurationVersion_.Set(static_cast<double>(state.configuration_->version_.value()));
         configurationAge_.Set(seconds(now - state.schedule_.configurationCheck_.askedAt_.value_or(state.startedAt_)));
     }
+    configurationBehind_.Set(seconds(timeBehind(state, now).value_or(Duration(0))));
     membersAge_.Set(seconds(now - state.schedule_.directoryCheck_.askedAt_.value_or(state.startedAt_)));
     const auto heard = std::ranges::count_if(state.peers_, [&](const auto &entry) { return entry.second.heard_ && now - *entry.second.heard_ < heardLately; });
     vmsHeard_.Set(static_cast<double>(heard));
--- a/src/SessionMetrics.h
+++ b/src/SessionMetrics.h
@@ -53,6 +53,7 @@
     prometheus::Gauge &waiting_;
     prometheus::Gauge &configurationVersion_;
     prometheus::Gauge &configurationAge_;
+    prometheus::Gauge &configurationBehind_;
     prometheus::Gauge &membersAge_;
     prometheus::Gauge &vmsHeard_;
     prometheus::Gauge &ready_;
--- a/src/SessionState.h
+++ b/src/SessionState.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "ConfigurationDelay.h"
 #include "ConnectionPlan.h"
 #include "Delegates.h"
 #include "PositionSamples.h"
@@ -315,6 +316,7 @@
     std::optional<SessionConfiguration> configuration_;
     std::uint64_t configurationRevision_ = 0;
     ConfigVersion newestHeard_; ///< Of the configurations that other VMs have.
+    ConfigurationDelay delay_;
     std::uint64_t directoryRevision_ = 0;
     std::set<std::string> unusableEntries_; ///< Of the directory; each is logged once.
     bool directoryKnown_ = false;
--- a/src/StoreReads.cpp
+++ b/src/StoreReads.cpp
@@ -193,10 +193,13 @@
     }
     sessions.configuration_ = read.configuration_;
     sessions.heartbeatNow_ = true; // Others learn the number at once.
+    const std::optional<Duration> behind = timeBehind(sessions, now);
+    noteInForce(sessions, now);
     out.emplace_back(WriteLog{LogNumber::ConfigurationInForce,
                               {{"version", absl::StrCat(read.configuration_->version_.value())},
                                {"revision", absl::StrCat(read.revision_)},
-                               {"databases", absl::StrCat(read.configuration_->databases_.size())}}});
+                               {"databases", absl::StrCat(read.configuration_->databases_.size())},
+                               {"behind_ms", behind ? absl::StrCat(toMillis(*behind)) : "-"}}});
     onConfigurationInForce(state, now, out);
 }
 
@@ -340,6 +343,7 @@
     if (!schedule.configuration_ && configurationIsDue(state, now)) {
         checkConfiguration(state, now, out);
     }
+    tellConfigurationDelay(sessions, now, out);
     const bool settled = now - sessions.startedAt_ > firstWatchAfter;
     if (sessions.configurationRevision_ != 0 && settled && !isReadFor(sessions, now) && isDue(schedule.watch_, schedule.watchAt_, now)) {
         schedule.watch_ = callStore(state, WatchConfiguration{sessions.configurationRevision_, watchTime}, now, out);
