--- a/test/support/SessionWorldStore.cpp
+++ b/test/support/SessionWorldStore.cpp
@@ -122,9 +122,16 @@
     const std::uint64_t incarnation = vms_[vm].incarnation_;
     const unsigned peer = static_cast<unsigned>(std::stoul(call.peer_));
     schedule(now_ + 2 * config_.networkDelay_, [this, vm, incarnation, peer, call] {
-        const bool reached = !vmCuts_.contains(std::minmax(vm, peer)) && vms_[peer].state_ && !vms_[peer].frozen_;
+        const bool isSilent = vmCuts_.contains(std::minmax(vm, peer)) || vms_[peer].frozen_;
+        if (isSilent) {
+            // Nothing refuses the call: only the caller's time-out ends it.
+            schedule(now_ + call.timeout_, [this, vm, incarnation, call] {
+                give(vm, incarnation, SessionEvent(StoreAnswered{call.id_, StoreResult::Unknown, {}}));
+            });
+            return;
+        }
         const bool asksConfiguration = std::holds_alternative<ReadConfiguration>(call.request_);
-        if (!reached || !asksConfiguration || !vms_[peer].state_->sessions_->configuration_) {
+        if (!vms_[peer].state_ || !asksConfiguration || !vms_[peer].state_->sessions_->configuration_) {
             give(vm, incarnation, SessionEvent(StoreAnswered{call.id_, StoreResult::Unknown, {}}));
             return;
         }
