No source of a configuration is waited for alone

What callers saw: requests handled by a version whose successor had been confirmed over 3 s before, at VMs that the store was silent to while the VM that told them of the change stood still. Cause: a VM had one read of the configuration under way, and waited for it for 3 s, as long as the whole bound, whoever else had the version; a check of the store held its one slot in the same way. Class: one question at a time to a source that may be silent.

Now a read that has not begun to be answered after 250 ms (another VM) or 600 ms (the store) is left behind, not ended: the next VM that has the version is asked, the one heard last first, or the store again, on a connection of its own. An answer that has begun is waited for, for a second or twice what the last one took: a small link must not carry the same configuration several times. Which is which the client of HTTP tells by the head of the answer. A call that ends unanswered after a later one was answered says nothing of the store. The first configuration is sought in the same way. Reads of the configuration and checks have modules of their own; stale reads, which nobody made, are gone.

--- /dev/null
+++ b/src/ConfigurationReads.cpp
@@ -0,0 +1,327 @@
+#include "ConfigurationReads.h"
+
+#include "HeartbeatPace.h"
+#include "ProxyState.h"
+#include "SessionAccess.h"
+#include "SessionHeartbeats.h"
+#include "StoreReads.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+
+namespace Figward {
+
+namespace {
+
+/** Longest wait of a watch; shorter than the store's limit, so that a watch that went silent is noticed. */
+constexpr Duration watchTime = std::chrono::seconds(20);
+/** Until a VM has heard who leads and watches for it; checks find a change meanwhile. */
+constexpr Duration firstWatchAfter = std::chrono::milliseconds(1500);
+/** Pause between reads of the store. */
+constexpr Duration configurationInterval = std::chrono::milliseconds(300);
+/**
+ * A configuration is in force some 3 s after it was confirmed also where watches hear nothing: some VM of those that hear each other reads the latest one this
+ * often, and the others learn its number by heartbeat. One VM pays for all, as long as they hear it.
+ */
+constexpr Duration checkInterval = std::chrono::milliseconds(1200);
+/**
+ * Where VMs are many, whose links may be small, a check is a watch that ends at once: read whole every 1.2 s, a configuration of 260 kB filled a link of 2 Mbit/s,
+ * and the statements of its VM were answered late for 25 s, until the configuration was smaller again.
+ */
+constexpr Duration checkWait = std::chrono::milliseconds(1);
+/** Calls to the store at a time for one check: the first may hang on a connection that has gone silent, a third says no more than the second. */
+constexpr std::size_t mostAtStore = 2;
+/** A read of the configuration that takes longer is told: on a link that is not busy even a large one takes about a second. */
+constexpr Duration slowFetch = std::chrono::milliseconds(1000);
+/** Pause after a call that failed. */
+constexpr Duration failurePause = std::chrono::milliseconds(300);
+/** Pause after an answer that cannot be used: it stays so until an operator changes it. */
+constexpr Duration unreadablePause = std::chrono::milliseconds(1200);
+
+bool vmsAreMany(const SessionServiceState &sessions)
+{
+    return !areAllClose(static_cast<unsigned>(sessions.peers_.size() + 1));
+}
+
+ConfigVersion versionOf(const SessionServiceState &sessions)
+{
+    return sessions.configuration_ ? sessions.configuration_->version_ : ConfigVersion(0);
+}
+
+bool isCheck(const WatchConfiguration &watch)
+{
+    return watch.wait_ <= checkWait;
+}
+
+/** Whether the call is a watch that waits for a change, and so no attempt to read. */
+bool waitsForChange(const StoreRequest &request)
+{
+    const auto *watch = std::get_if<WatchConfiguration>(&request);
+    return watch != nullptr && !isCheck(*watch);
+}
+
+void begin(ProxyState &state, StoreRequest request, const StoreSource &source, Time now, Effects &out)
+{
+    const CallId call = callStore(state, std::move(request), now, out, source);
+    state.sessions_->schedule_.configurationAttempts_.push_back({call, source.peer_, now, std::nullopt});
+}
+
+void askVm(ProxyState &state, const std::string &address, Time now, Effects &out)
+{
+    begin(state, ReadConfiguration{}, {address}, now, out);
+}
+
+/** A second call goes on a connection of its own: those that are kept may have gone silent together with that of the first. */
+void askStore(ProxyState &state, StoreRequest request, Time now, Effects &out)
+{
+    StoreSchedule &schedule = state.sessions_->schedule_;
+    schedule.configurationAt_ = now + configurationInterval;
+    const bool isSecond = countAsking(schedule.configurationAttempts_, {}) > 0;
+    begin(state, std::move(request), {{}, isSecond}, now, out);
+}
+
+/** The VM to ask next for a newer configuration: one that has the newest, and of those the one that was heard last. */
+const PeerVm *chooseTeller(const SessionServiceState &sessions, Time now)
+{
+    const PeerVm *best = nullptr;
+    for (const auto &[name, peer] : sessions.peers_) {
+        const bool isNewer = versionOf(sessions) < peer.configuration_;
+        const bool isAsked = countAsking(sessions.schedule_.configurationAttempts_, peer.vm_.address_) > 0;
+        if (!isNewer || isAsked || !isFresh(peer, now) || now < peer.configurationAfter_) {
+            continue;
+        }
+        if (best == nullptr || std::pair(best->configuration_, best->heard_) < std::pair(peer.configuration_, peer.heard_)) {
+            best = &peer;
+        }
+    }
+    return best;
+}
+
+/**
+ * Another VM has a newer configuration. It is read there, or where VMs are many from the store as long as that answers: there the few VMs that know it first would
+ * send it to all others over their own links. One that told of it may have gone silent since, so that the next is asked as soon as that one is overdue: it
+ * once held up the VM that asked it for 3 s, while all others had the version.
+ */
+void askForNewer(ProxyState &state, Time now, Effects &out)
+{
+    StoreSchedule &schedule = state.sessions_->schedule_;
+    const bool storeFirst = vmsAreMany(*state.sessions_) && schedule.reachable_;
+    const ConfigurationAttempts &attempts = schedule.configurationAttempts_;
+    // Where VMs are few a check that is under way is not waited for: it may have been asked before the change.
+    if (!mayAskAnother(storeFirst ? attempts : attemptsAtVms(attempts), schedule.transferTime_, now)) {
+        return;
+    }
+    const bool storeIsFree = countAsking(attempts, {}) == 0 && now >= schedule.configurationAt_;
+    if (storeFirst && storeIsFree) {
+        askStore(state, ReadConfiguration{}, now, out);
+    } else if (const PeerVm *teller = chooseTeller(*state.sessions_, now)) {
+        askVm(state, teller->vm_.address_, now, out);
+    } else if (schedule.reachable_ && storeIsFree) {
+        askStore(state, ReadConfiguration{}, now, out);
+    }
+}
+
+/** Reads the first configuration, of another VM if the store does not answer this one. */
+void readFirst(ProxyState &state, Time now, Effects &out)
+{
+    const StoreSchedule &schedule = state.sessions_->schedule_;
+    if (!mayAskAnother(schedule.configurationAttempts_, schedule.transferTime_, now)) {
+        return;
+    }
+    const bool storeIsSilent = !schedule.reachable_ || countAsking(schedule.configurationAttempts_, {}) > 0;
+    const std::string peer = storeIsSilent ? somePeer(state, now) : std::string();
+    if (!peer.empty() && countAsking(schedule.configurationAttempts_, peer) == 0) {
+        state.sessions_->schedule_.configurationAt_ = now + configurationInterval;
+        askVm(state, peer, now, out);
+    } else if (countAsking(schedule.configurationAttempts_, {}) < mostAtStore) {
+        askStore(state, ReadConfiguration{}, now, out);
+    }
+}
+
+/** Asks the store whether there is a configuration that this VM does not know. */
+void checkStore(ProxyState &state, Time now, Effects &out)
+{
+    const SessionServiceState &sessions = *state.sessions_;
+    const StoreSchedule &schedule = sessions.schedule_;
+    const auto isWaitedFor = [&](const ConfigurationAttempt &attempt) { return attempt.peer_.empty() && !isOverdue(attempt, schedule.transferTime_, now); };
+    if (std::ranges::any_of(schedule.configurationAttempts_, isWaitedFor) || countAsking(schedule.configurationAttempts_, {}) >= mostAtStore) {
+        return;
+    }
+    if (sessions.configurationRevision_ != 0 && vmsAreMany(sessions)) {
+        askStore(state, WatchConfiguration{sessions.configurationRevision_, checkWait}, now, out);
+    } else {
+        askStore(state, ReadConfiguration{}, now, out);
+    }
+}
+
+void onConfigurationRead(ProxyState &state, const ConfigurationRead &read, Time now, Effects &out)
+{
+    SessionServiceState &sessions = *state.sessions_;
+    sessions.configurationRevision_ = std::max(sessions.configurationRevision_, read.revision_);
+    if (!read.configuration_ || read.configuration_->version_ <= versionOf(sessions)) {
+        return;
+    }
+    sessions.configuration_ = read.configuration_;
+    sessions.heartbeatNow_ = true; // Others learn the number at once.
+    const std::optional<Duration> behind = timeBehind(sessions, now);
+    noteInForce(sessions, now);
+    out.emplace_back(WriteLog{LogNumber::ConfigurationInForce,
+                              {{"version", absl::StrCat(read.configuration_->version_.value())},
+                               {"revision", absl::StrCat(read.revision_)},
+                               {"databases", absl::StrCat(read.configuration_->databases_.size())},
+                               {"behind_ms", behind ? absl::StrCat(toMillis(*behind)) : "-"}}});
+    onConfigurationInForce(state, now, out);
+}
+
+/** Tells of a read that brought a newer configuration, failed, or took long; a watch that ends without a change is none. */
+void tellFetch(const SessionServiceState &sessions, const StoreCallUnderWay &call, const StoreAnswered &answer, Time now, Effects &out)
+{
+    const auto *watch = std::get_if<WatchConfiguration>(&call.request_);
+    const auto *read = std::get_if<ConfigurationRead>(&answer.content_);
+    const bool whole = read != nullptr && read->configuration_;
+    const bool newer = whole && versionOf(sessions) < read->configuration_->version_;
+    const bool slow = whole && now - call.sentAt_ > slowFetch;
+    if (answer.result_ == StoreResult::Done && !newer && !slow) {
+        return;
+    }
+    out.emplace_back(WriteLog{LogNumber::ConfigurationFetched,
+                              {{"by",
+                                watch == nullptr  ? "read"
+                                : isCheck(*watch) ? "check"
+                                                  : "watch"},
+                               {"from", call.peer_.empty() ? "store" : call.peer_},
+                               {"outcome", std::string(toString(answer.result_))},
+                               {"version", whole ? absl::StrCat(read->configuration_->version_.value()) : "-"},
+                               {"bytes", read == nullptr ? "-" : absl::StrCat(read->bytes_)},
+                               {"ms", absl::StrCat(toMillis(now - call.sentAt_))}}});
+}
+
+/** The VM is not asked again at once. */
+void noteVmFailed(SessionServiceState &sessions, const std::string &address, Time now)
+{
+    for (auto &[name, peer] : sessions.peers_) {
+        if (peer.vm_.address_ == address) {
+            peer.configurationAfter_ = now + failurePause;
+        }
+    }
+}
+
+void onReadFailed(ProxyState &state, const StoreCallUnderWay &call, StoreResult result, Time now)
+{
+    SessionServiceState &sessions = *state.sessions_;
+    StoreSchedule &schedule = sessions.schedule_;
+    if (!call.peer_.empty()) {
+        noteVmFailed(sessions, call.peer_, now);
+        return;
+    }
+    if (std::holds_alternative<WatchConfiguration>(call.request_)) {
+        schedule.watchAt_ = now + (result == StoreResult::Unreadable ? unreadablePause : failurePause);
+    }
+    if (result == StoreResult::HistoryGone) {
+        schedule.configurationAt_ = now;
+        sessions.configurationRevision_ = 0; // Known again after the next read.
+    }
+    const bool isOvertaken = schedule.configurationCheck_.askedAt_ && call.sentAt_ < *schedule.configurationCheck_.askedAt_;
+    if (!waitsForChange(call.request_) && !isOvertaken) {
+        noteCheckFailed(state, schedule.configurationCheck_, now);
+    }
+}
+
+/** Ends the attempt, and notes how long a whole configuration takes to arrive here. */
+void endAttempt(StoreSchedule &schedule, const StoreAnswered &answer, Time now)
+{
+    const auto attempt = std::ranges::find(schedule.configurationAttempts_, answer.id_, &ConfigurationAttempt::call_);
+    if (attempt == schedule.configurationAttempts_.end()) {
+        return;
+    }
+    const auto *read = std::get_if<ConfigurationRead>(&answer.content_);
+    if (read != nullptr && read->configuration_) {
+        schedule.transferTime_ = now - attempt->askedAt_;
+    }
+    schedule.configurationAttempts_.erase(attempt);
+}
+
+/** Whether the first configuration is to be read, or the latest one compared with this VM's. */
+bool isReadDue(ProxyState &state, Time now)
+{
+    StoreSchedule &schedule = state.sessions_->schedule_;
+    const bool isKnown = state.sessions_->configuration_ && state.sessions_->configurationRevision_ != 0;
+    return (!isKnown || isCheckDue(state, schedule.configurationCheck_, checkInterval, now)) && now >= schedule.configurationAt_;
+}
+
+void watchIfDue(ProxyState &state, Time now, Effects &out)
+{
+    const SessionServiceState &sessions = *state.sessions_;
+    StoreSchedule &schedule = state.sessions_->schedule_;
+    const bool settled = now - sessions.startedAt_ > firstWatchAfter;
+    if (sessions.configurationRevision_ != 0 && settled && !schedule.watch_ && now >= schedule.watchAt_ && !isReadFor(sessions, now)) {
+        schedule.watch_ = callStore(state, WatchConfiguration{sessions.configurationRevision_, watchTime}, now, out);
+    }
+}
+
+/** Tells of each newer version once. */
+void noteNewerHeard(SessionServiceState &sessions, const VmHeartbeat &heartbeat, Time now, Effects &out)
+{
+    noteBehind(sessions, now);
+    if (heartbeat.configuration_ <= sessions.newestHeard_) {
+        return;
+    }
+    sessions.newestHeard_ = heartbeat.configuration_;
+    out.emplace_back(WriteLog{
+        LogNumber::ConfigurationNewerHeard,
+        {{"version", absl::StrCat(heartbeat.configuration_.value())}, {"from", heartbeat.name_}, {"mine", absl::StrCat(versionOf(sessions).value())}}});
+}
+
+} // namespace
+
+void reviewConfigurationReads(ProxyState &state, Time now, Effects &out)
+{
+    SessionServiceState &sessions = *state.sessions_;
+    if (versionOf(sessions) < sessions.newestHeard_) {
+        askForNewer(state, now, out);
+    }
+    if (isReadDue(state, now)) {
+        sessions.configuration_ ? checkStore(state, now, out) : readFirst(state, now, out);
+    }
+    watchIfDue(state, now, out);
+    tellConfigurationDelay(sessions, now, out);
+}
+
+void onConfigurationAnswered(ProxyState &state, const StoreCallUnderWay &call, const StoreAnswered &answer, Time now, Effects &out)
+{
+    SessionServiceState &sessions = *state.sessions_;
+    endAttempt(sessions.schedule_, answer, now);
+    tellFetch(sessions, call, answer, now, out);
+    const auto *read = std::get_if<ConfigurationRead>(&answer.content_);
+    if (answer.result_ != StoreResult::Done || read == nullptr) {
+        onReadFailed(state, call, answer.result_, now);
+        return;
+    }
+    if (call.peer_.empty()) {
+        noteChecked(sessions.schedule_.configurationCheck_, call.sentAt_);
+    }
+    onConfigurationRead(state, *read, now, out);
+}
+
+void onStoreAnswerBegan(ProxyState &state, const StoreAnswerBegan &began, Time now)
+{
+    ConfigurationAttempts &attempts = state.sessions_->schedule_.configurationAttempts_;
+    const auto attempt = std::ranges::find(attempts, began.id_, &ConfigurationAttempt::call_);
+    if (attempt != attempts.end()) {
+        attempt->beganAt_ = now;
+    }
+}
+
+void noteConfigurationOf(ProxyState &state, const VmHeartbeat &heartbeat, Time now, Effects &out)
+{
+    SessionServiceState &sessions = *state.sessions_;
+    if (heartbeat.configurationAge_) {
+        noteChecked(sessions.schedule_.configurationCheck_, now - *heartbeat.configurationAge_);
+    }
+    if (versionOf(sessions) < heartbeat.configuration_) {
+        noteNewerHeard(sessions, heartbeat, now, out);
+        askForNewer(state, now, out);
+    }
+}
+
+} // namespace Figward
--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -36,9 +36,10 @@
     {
     }
 
-    void run(HttpRequest request, OnResponse onResponse)
+    void run(HttpRequest request, OnResponse onResponse, OnBegan onBegan)
     {
         onResponse_ = std::move(onResponse);
+        onBegan_ = std::move(onBegan);
         message_ = {};
         message_.version(11);
         message_.method_string(request.method_);
@@ -96,6 +97,20 @@
     {
         parser_ = std::make_unique<http::response_parser<http::string_body>>();
         parser_->body_limit(bodyLimit);
+        http::async_read_header(stream_, buffer_, *parser_, [self = shared_from_this()](const boost::system::error_code &error, std::size_t /*size*/) {
+            if (error) {
+                self->finish({}, false);
+                return;
+            }
+            if (const OnBegan onBegan = std::exchange(self->onBegan_, nullptr); onBegan && !self->shared_->ended_) {
+                onBegan();
+            }
+            self->readBody();
+        });
+    }
+
+    void readBody()
+    {
         http::async_read(stream_, buffer_, *parser_, [self = shared_from_this()](const boost::system::error_code &error, std::size_t /*size*/) {
             if (error) {
                 self->finish({}, false);
@@ -126,6 +141,7 @@
     http::request<http::string_body> message_;
     std::unique_ptr<http::response_parser<http::string_body>> parser_;
     OnResponse onResponse_;
+    OnBegan onBegan_;
     bool connected_ = false;
 };
 
@@ -142,16 +158,16 @@
     shared_->idle_.clear();
 }
 
-void HttpClient::call(HttpRequest request, OnResponse onResponse)
+void HttpClient::call(HttpRequest request, OnResponse onResponse, OnBegan onBegan)
 {
     std::shared_ptr<Connection> connection;
-    if (shared_->idle_.empty()) {
+    if (request.newConnection_ || shared_->idle_.empty()) {
         connection = std::make_shared<Connection>(context_, shared_);
     } else {
         connection = std::move(shared_->idle_.back());
         shared_->idle_.pop_back();
     }
-    connection->run(std::move(request), std::move(onResponse));
+    connection->run(std::move(request), std::move(onResponse), std::move(onBegan));
 }
 
 } // namespace Figward
--- a/src/HttpClient.h
+++ b/src/HttpClient.h
@@ -21,6 +21,7 @@
     std::map<std::string, std::string> headers_;
     std::string body_; ///< JSON, if not empty.
     std::chrono::microseconds timeout_{};
+    bool newConnection_ = false; ///< Does not reuse a kept one.
 };
 
 /** One answer. */
@@ -35,14 +36,15 @@
 {
 public:
     using OnResponse = std::function<void(HttpResponse response)>;
+    using OnBegan = std::function<void()>;
 
     /** \p address is "IP:port". */
     HttpClient(boost::asio::io_context &context, std::string address);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
-    /** Calls \p onResponse once, at the latest when the time-out has passed. */
-    void call(HttpRequest request, OnResponse onResponse);
+    /** Calls \p onResponse once, at the latest when the time-out has passed, and before it \p onBegan, if given, when the head of an answer has come. */
+    void call(HttpRequest request, OnResponse onResponse, OnBegan onBegan = nullptr);
 
 private:
     class Connection;
--- a/src/SessionEvents.h
+++ b/src/SessionEvents.h
@@ -104,11 +104,6 @@
     Duration nextIn_{}; ///< Until one more is to be had.
 };
 
-/** How fresh an answer of the store must be. */
-enum class Freshness {
-    Latest,
-    MayBeStale, ///< Cheap; the answer may be seconds old.
-};
 /** Reads the configuration; answered with ConfigurationRead. */
 struct ReadConfiguration
 {
@@ -143,12 +138,17 @@
 };
 using StoreRequest = std::variant<ReadConfiguration, WatchConfiguration, ReadMembers, ReadVms, ReadClaims, RegisterVm, WriteClaim>;
 
+/** Whom a call to the store goes to. */
+struct StoreSource
+{
+    std::string peer_; ///< The mirror of the VM at this address in place of the store; empty: the store.
+    bool newConnection_ = false; ///< Not on a kept connection: those may have gone silent.
+};
 /** A call to the store. */
 struct StoreCall
 {
     CallId id_;
-    std::string peer_; ///< Asks the mirror of the VM at this address in place of the store.
-    Freshness freshness_ = Freshness::Latest;
+    StoreSource source_;
     Duration timeout_{};
     StoreRequest request_;
 };
@@ -179,6 +179,11 @@
     StoreResult result_ = StoreResult::Unknown;
     StoreContent content_;
 };
+/** The answer to a read, check or watch of the configuration has begun to arrive; its source is not silent. */
+struct StoreAnswerBegan
+{
+    CallId id_;
+};
 /** A call to promote a member ended. */
 struct PromotionAnswered
 {
@@ -195,6 +200,7 @@
                                   AdmissionRequest,
                                   AdmissionGrant,
                                   StoreAnswered,
+                                  StoreAnswerBegan,
                                   PromotionAnswered>;
 
 /** Lets a client that opened a session go on. */
--- a/src/SessionHeartbeats.cpp
+++ b/src/SessionHeartbeats.cpp
@@ -1,5 +1,6 @@
 #include "SessionHeartbeats.h"
 
+#include "ConfigurationReads.h"
 #include "Delegates.h"
 #include "GroupLeadership.h"
 #include "PrimaryReplacement.h"
@@ -237,17 +238,6 @@
     out.emplace_back(SessionEffect(SendHeartbeat{peer.vm_.address_, heartbeat}));
 }
 
-/** Tells of each newer version once. */
-void noteNewerHeard(ProxyState &state, const VmHeartbeat &heartbeat, ConfigVersion mine, Effects &out)
-{
-    if (heartbeat.configuration_ <= state.sessions_->newestHeard_) {
-        return;
-    }
-    state.sessions_->newestHeard_ = heartbeat.configuration_;
-    out.emplace_back(WriteLog{LogNumber::ConfigurationNewerHeard,
-                              {{"version", absl::StrCat(heartbeat.configuration_.value())}, {"from", heartbeat.name_}, {"mine", absl::StrCat(mine.value())}}});
-}
-
 } // namespace
 
 bool isDelegate(const SessionServiceState &sessions)
@@ -309,18 +299,10 @@
     for (const GroupHeartbeat &beat : heartbeat.groups_) {
         takeGroup(state, heartbeat, beat, now);
     }
-    if (heartbeat.configurationAge_) {
-        noteConfigurationChecked(state, now - *heartbeat.configurationAge_);
-    }
     if (heartbeat.directoryAge_) {
         noteDirectoryOf(state, heartbeat, now, out);
     }
-    const ConfigVersion mine = state.sessions_->configuration_ ? state.sessions_->configuration_->version_ : ConfigVersion(0);
-    if (mine < heartbeat.configuration_) {
-        noteBehind(*state.sessions_, now);
-        noteNewerHeard(state, heartbeat, mine, out);
-        fetchConfiguration(state, heartbeat.address_, now, out);
-    }
+    noteConfigurationOf(state, heartbeat, now, out);
 }
 
 void sendHeartbeats(ProxyState &state, Time now, Effects &out)
--- a/src/SessionMetrics.cpp
+++ b/src/SessionMetrics.cpp
@@ -99,7 +99,7 @@
     if (const auto *ended = std::get_if<StatementEnded>(&effect)) {
         observeStatement(*ended);
     } else if (const auto *call = std::get_if<CallStore>(&effect)) {
-        storeCalls_.Add({{"call", callName(call->call_.request_)}, {"to", call->call_.peer_.empty() ? "store" : "vm"}}).Increment();
+        storeCalls_.Add({{"call", callName(call->call_.request_)}, {"to", call->call_.source_.peer_.empty() ? "store" : "vm"}}).Increment();
     }
 }
 
--- a/src/SessionService.cpp
+++ b/src/SessionService.cpp
@@ -1,5 +1,6 @@
 #include "SessionService.h"
 
+#include "ConfigurationReads.h"
 #include "ConnectionSharing.h"
 #include "CutOff.h"
 #include "GroupLeadership.h"
@@ -200,6 +201,7 @@
         [&](const AdmissionRequest &body) { onAdmissionRequest(state, body, now, out); },
         [&](const AdmissionGrant &body) { onAdmissionGrant(state, body, now, out); },
         [&](const StoreAnswered &body) { onStoreAnswered(state, body, now, out); },
+        [&](const StoreAnswerBegan &body) { onStoreAnswerBegan(state, body, now); },
         [&](const PromotionAnswered &body) { onPromotionAnswered(state, body, now, out); },
     };
     std::visit(handle, event);
--- a/src/SessionState.h
+++ b/src/SessionState.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "ConfigurationAttempts.h"
 #include "ConfigurationDelay.h"
 #include "ConnectionPlan.h"
 #include "Delegates.h"
@@ -10,6 +11,7 @@
 #include "PrimaryAuthority.h"
 #include "SessionEvents.h"
 #include "SessionPolicies.h"
+#include "SharedCheck.h"
 #include "TokenBucket.h"
 #include "Units.h"
 #include "WaitForecast.h"
@@ -197,6 +199,7 @@
     Time itsClock_; ///< When it sent the newest heartbeat that came.
     Time itsClockAt_; ///< When that came.
     ConfigVersion configuration_;
+    Time configurationAfter_; ///< It is not asked for it before.
     Duration itsInterval_ = heartbeatInterval; ///< Until its next one to this VM, by its own word.
     bool leads_ = false; ///< Some group.
     bool leaving_ = false;
@@ -211,15 +214,6 @@
     StoreRequest request_;
     std::string peer_;
     Time sentAt_;
-    Freshness freshness_ = Freshness::Latest;
-};
-
-/** Something in the store that one VM reads for all: the others learn by heartbeat when that was, and fetch from its mirror what is new to them. */
-struct SharedCheck
-{
-    std::optional<Time> askedAt_; ///< When some VM last asked the store and had an answer.
-    std::optional<Time> notBefore_; ///< This VM does not ask before; set while a check is due.
-    unsigned failures_ = 0; ///< Of this VM, in a row.
 };
 
 /** When the store is asked next. */
@@ -237,12 +231,14 @@
     bool registered_ = false;
     bool claimsRead_ = false; ///< Since this VM is registered.
     std::optional<CallId> members_;
-    std::optional<CallId> configuration_;
+    ConfigurationAttempts configurationAttempts_; ///< Reads and checks; not the watch.
+    Duration transferTime_{}; ///< That the last whole configuration took to arrive.
     std::optional<CallId> watch_;
     std::optional<CallId> vms_;
     std::optional<CallId> claims_;
     std::optional<CallId> register_;
     bool reachable_ = true; ///< Its last call was answered.
+    Time answeredAskedAt_; ///< When the last call that it answered was made.
     Time unreachableSince_; ///< While it is not.
 };
 
--- a/test/error/ConfigurationEventIsTakenWhole.cpp
+++ b/test/error/ConfigurationEventIsTakenWhole.cpp
@@ -47,6 +47,10 @@
     NoLog log;
     Platform::StoreLink link(context, events, log, store.address());
     std::optional<ConfigurationRead> read;
+    InSequence inOrder;
+    EXPECT_CALL(events, post).WillOnce([](const EventBody &event) {
+        EXPECT_EQ(std::get<StoreAnswerBegan>(std::get<SessionEvent>(event)).id_, CallId(1));
+    });
     EXPECT_CALL(events, post).WillOnce([&](const EventBody &event) {
         const auto &answer = std::get<StoreAnswered>(std::get<SessionEvent>(event));
         EXPECT_EQ(answer.result_, StoreResult::Done);
--- a/test/error/SessionConfigurationIsLate.cpp
+++ b/test/error/SessionConfigurationIsLate.cpp
@@ -17,25 +17,26 @@
     return world.vm(vm).sessions_->configuration_->version_;
 }
 
-/** The VM that \p vm asks for its configuration at present. */
-std::optional<unsigned> askedBy(SessionWorld &world, unsigned vm)
+/** A VM that \p vm asks for its configuration at present, and none of \p others. */
+std::optional<unsigned> askedBy(SessionWorld &world, unsigned vm, const std::set<unsigned> &others)
 {
     for (const auto &[id, call] : world.vm(vm).sessions_->calls_) {
-        if (!call.peer_.empty() && std::holds_alternative<ReadConfiguration>(call.request_)) {
+        const bool asksVm = !call.peer_.empty() && std::holds_alternative<ReadConfiguration>(call.request_);
+        if (asksVm && !others.contains(static_cast<unsigned>(std::stoul(call.peer_)))) {
             return static_cast<unsigned>(std::stoul(call.peer_));
         }
     }
     return std::nullopt;
 }
 
-/** Lets time pass until \p vm asks another for a configuration, and returns that one. */
-std::optional<unsigned> runUntilItAsks(SessionWorld &world, unsigned vm)
+/** Lets time pass until \p vm asks a VM other than \p others for a configuration, and returns that one. */
+std::optional<unsigned> runUntilItAsks(SessionWorld &world, unsigned vm, const std::set<unsigned> &others = {})
 {
     const Time end = world.now() + applyBound;
-    while (!askedBy(world, vm) && world.now() < end) {
+    while (!askedBy(world, vm, others) && world.now() < end) {
         world.run(std::chrono::microseconds(100));
     }
-    return askedBy(world, vm);
+    return askedBy(world, vm, others);
 }
 
 } // namespace
@@ -56,3 +57,57 @@
     world.run(confirmed + applyBound - world.now());
     EXPECT_EQ(versionAt(world, 7), ConfigVersion(5));
 }
+
+// Guards against the same where the one that is asked next stands still, too.
+TEST(SessionConfigurationIsLate, notBehindSeveralVmsThatStandStill)
+{
+    SessionWorldConfig config;
+    config.vms_ = 8;
+    SessionWorld world(config);
+    world.run(startTime);
+    world.cutVmFromStore(7, true);
+    world.newConfiguration([](SessionConfiguration &) {});
+    const Time confirmed = world.now();
+    std::set<unsigned> frozen;
+    while (frozen.size() < 3) {
+        const std::optional<unsigned> teller = runUntilItAsks(world, 7, frozen);
+        ASSERT_TRUE(teller.has_value());
+        frozen.insert(*teller);
+        world.freezeVm(*teller, true);
+    }
+    world.run(confirmed + applyBound - world.now());
+    EXPECT_EQ(versionAt(world, 7), ConfigVersion(5));
+}
+
+// Guards against a check of the store that waits for one kept connection after the other, when all of them went silent at once and watches with them.
+TEST(SessionConfigurationIsLate, notBehindConnectionsThatWentSilent)
+{
+    SessionWorld world;
+    world.run(startTime);
+    for (unsigned vm = 0; vm < 4; ++vm) {
+        world.silenceStoreConnections(vm);
+    }
+    world.run(std::chrono::milliseconds(500));
+    world.newConfiguration([](SessionConfiguration &) {});
+    world.run(applyBound);
+    for (unsigned vm = 0; vm < 4; ++vm) {
+        EXPECT_EQ(versionAt(world, vm), ConfigVersion(5)) << vm;
+    }
+}
+
+// Guards against the store's silence towards one VM that starts with all others: it takes its first configuration from one of them.
+TEST(SessionConfigurationIsLate, notAtAVmThatStartsWhileTheStoreIsSilentToIt)
+{
+    SessionWorld world;
+    world.run(startTime);
+    for (unsigned vm = 0; vm < 4; ++vm) {
+        world.killVm(vm);
+    }
+    world.cutVmFromStore(2, true);
+    for (unsigned vm = 0; vm < 4; ++vm) {
+        world.startVm(vm);
+    }
+    world.run(applyBound);
+    ASSERT_TRUE(world.vm(2).sessions_->configuration_.has_value());
+    EXPECT_EQ(versionAt(world, 2), ConfigVersion(3));
+}
--- a/test/error/SessionStoreIsAway.cpp
+++ b/test/error/SessionStoreIsAway.cpp
@@ -40,7 +40,7 @@
 {
     SessionWorld world;
     world.run(startTime);
-    world.freezeStaleReads(true);
+    world.watchesAreSilent(true);
     for (int round = 0; round < 5; ++round) {
         world.run(std::chrono::milliseconds(700));
         world.newConfiguration([](SessionConfiguration &) {});
--- a/test/support/SessionWorld.cpp
+++ b/test/support/SessionWorld.cpp
@@ -270,7 +270,7 @@
         [&](const SendHeartbeat &body) { sendHeartbeat(vm, body); },
         [&](const SendAdmissionRequest &body) { sendDatagram(vm, body.address_, body.request_); },
         [&](const SendAdmissionGrant &body) { sendDatagram(vm, body.address_, body.grant_); },
-        [&](const CallStore &body) { body.call_.peer_.empty() ? callStore(vm, body.call_) : callMirror(vm, body.call_); },
+        [&](const CallStore &body) { body.call_.source_.peer_.empty() ? callStore(vm, body.call_) : callMirror(vm, body.call_); },
         [&](const CallPromotion &body) { callPromotion(vm, body); },
         [&](const SetReady &body) { vms_[vm].ready_ = body.ready_; },
         [](const StatementEnded & /*body*/) {},
--- a/test/support/SessionWorld.h
+++ b/test/support/SessionWorld.h
@@ -129,8 +129,12 @@
     void configurationTakes(Duration transfer);
     /** Watches that wait for long hear no change; those that end at once do. */
     void watchesAreDeaf(bool deaf);
-    /** Watches hear nothing and stale answers are as the store was at this moment. */
-    void freezeStaleReads(bool frozen);
+    /** No watch hears a change, however long it waits. */
+    void watchesAreSilent(bool silent);
+    /** The VM's connections to the store go silent for good: its watch hears nothing more, and the next calls on kept connections are not answered. */
+    void silenceStoreConnections(unsigned vm);
+    /** The VM's calls to the mirrors of others are not answered; datagrams pass. */
+    void mirrorsAreCutFrom(unsigned vm, bool cut);
 
     [[nodiscard]] ProxyState &vm(unsigned vm);
     /** The first group. */
@@ -179,6 +183,8 @@
         std::uint64_t incarnation_ = 0;
         std::uint64_t wakeUp_ = 0;
         bool frozen_ = false;
+        unsigned silentConnections_ = 0; ///< Kept ones to the store, that answer nothing.
+        unsigned silences_ = 0; ///< How often those connections have gone silent.
         bool ready_ = false;
         std::vector<EventBody> held_; ///< Came while it was frozen.
         std::map<ConnectionId, unsigned> connections_;
@@ -243,6 +249,8 @@
     /** Gives the answer to \p call, asked at \p askedAt, when it has arrived, or none when its time is over. */
     void answerConfiguration(unsigned vm, const StoreCall &call, StoreAnswered answer, Time askedAt);
     void callMirror(unsigned vm, const StoreCall &call);
+    /** The call ends when its time is over: nothing refuses it. */
+    void answerNothing(unsigned vm, const StoreCall &call);
     StoreAnswered execute(const StoreCall &call);
     StoreAnswered executeWrite(CallId id, const WriteClaim &write);
     void sendHeartbeat(unsigned vm, const SendHeartbeat &effect);
@@ -268,7 +276,8 @@
     std::vector<Vm> vms_;
     std::vector<Standin::LineGroupModel> groups_;
     Store store_;
-    std::optional<Store> stale_;
+    bool silentWatches_ = false;
+    std::set<unsigned> mirrorCuts_;
     bool storeDown_ = false;
     bool storeLosesAnswers_ = false;
     bool promotionsDown_ = false;
--- a/test/support/SessionWorldStore.cpp
+++ b/test/support/SessionWorldStore.cpp
@@ -41,9 +41,21 @@
     store_.configurationRevision_ = ++store_.revision_;
 }
 
-void SessionWorld::freezeStaleReads(bool frozen)
+void SessionWorld::watchesAreSilent(bool silent)
 {
-    stale_ = frozen ? std::optional(store_) : std::nullopt;
+    silentWatches_ = silent;
+}
+
+void SessionWorld::silenceStoreConnections(unsigned vm)
+{
+    constexpr unsigned keptConnections = 3;
+    vms_[vm].silentConnections_ = keptConnections;
+    ++vms_[vm].silences_;
+}
+
+void SessionWorld::mirrorsAreCutFrom(unsigned vm, bool cut)
+{
+    cut ? (void)mirrorCuts_.insert(vm) : (void)mirrorCuts_.erase(vm);
 }
 
 void SessionWorld::configurationTakes(Duration transfer)
@@ -61,16 +73,29 @@
     const std::uint64_t incarnation = vms_[vm].incarnation_;
     const Time end = askedAt + call.timeout_;
     const Time arrives = now_ + transfer_;
+    give(vm, incarnation, SessionEvent(StoreAnswerBegan{call.id_}));
     if (arrives > end) {
         answer = StoreAnswered{call.id_, StoreResult::Unknown, {}};
     }
     schedule(std::min(arrives, end), [this, vm, incarnation, answer = std::move(answer)] { give(vm, incarnation, SessionEvent(answer)); });
 }
 
+void SessionWorld::answerNothing(unsigned vm, const StoreCall &call)
+{
+    schedule(now_ + call.timeout_, [this, vm, incarnation = vms_[vm].incarnation_, id = call.id_] {
+        give(vm, incarnation, SessionEvent(StoreAnswered{id, StoreResult::Unknown, {}}));
+    });
+}
+
 void SessionWorld::callStore(unsigned vm, const StoreCall &call)
 {
     ++storeCalls_[kindOf(call.request_)];
     const std::uint64_t incarnation = vms_[vm].incarnation_;
+    if (!call.source_.newConnection_ && vms_[vm].silentConnections_ > 0) {
+        --vms_[vm].silentConnections_;
+        answerNothing(vm, call);
+        return;
+    }
     const bool lost = storeDown_ || storeCuts_.contains(vm);
     const bool isWrite = std::holds_alternative<WriteClaim>(call.request_) || std::holds_alternative<RegisterVm>(call.request_);
     if (const auto *watch = std::get_if<WatchConfiguration>(&call.request_)) {
@@ -78,9 +103,18 @@
         const auto poll = std::make_shared<std::function<void()>>();
         const Time end = now_ + watch->wait_;
         constexpr Duration longWait = std::chrono::milliseconds(100);
-        *poll = [this, vm, incarnation, call, waitsLong = watch->wait_ > longWait, since = watch->sinceRevision_, end, poll, askedAt = now_] {
-            const bool hears = !deafWatches_ || !waitsLong;
-            const bool changed = hears && store_.configurationRevision_ > since && !stale_ && !storeDown_ && !storeCuts_.contains(vm);
+        *poll = [this,
+                 vm,
+                 incarnation,
+                 call,
+                 waitsLong = watch->wait_ > longWait,
+                 since = watch->sinceRevision_,
+                 silences = vms_[vm].silences_,
+                 end,
+                 poll,
+                 askedAt = now_] {
+            const bool hears = (!deafWatches_ || !waitsLong) && silences == vms_[vm].silences_;
+            const bool changed = hears && store_.configurationRevision_ > since && !silentWatches_ && !storeDown_ && !storeCuts_.contains(vm);
             if (!changed && now_ < end && vms_[vm].incarnation_ == incarnation) {
                 schedule(now_ + std::chrono::milliseconds(5), *poll);
                 return;
@@ -103,9 +137,7 @@
             if (!cut) {
                 execute(call);
             }
-            schedule(now_ + call.timeout_, [this, vm, incarnation, call] {
-                give(vm, incarnation, SessionEvent(StoreAnswered{call.id_, StoreResult::Unknown, {}}));
-            });
+            answerNothing(vm, call);
             return;
         }
         StoreAnswered answer = execute(call);
@@ -120,14 +152,11 @@
 void SessionWorld::callMirror(unsigned vm, const StoreCall &call)
 {
     const std::uint64_t incarnation = vms_[vm].incarnation_;
-    const unsigned peer = static_cast<unsigned>(std::stoul(call.peer_));
+    const unsigned peer = static_cast<unsigned>(std::stoul(call.source_.peer_));
     schedule(now_ + 2 * config_.networkDelay_, [this, vm, incarnation, peer, call] {
-        const bool isSilent = vmCuts_.contains(std::minmax(vm, peer)) || vms_[peer].frozen_;
+        const bool isSilent = vmCuts_.contains(std::minmax(vm, peer)) || vms_[peer].frozen_ || mirrorCuts_.contains(vm);
         if (isSilent) {
-            // Nothing refuses the call: only the caller's time-out ends it.
-            schedule(now_ + call.timeout_, [this, vm, incarnation, call] {
-                give(vm, incarnation, SessionEvent(StoreAnswered{call.id_, StoreResult::Unknown, {}}));
-            });
+            answerNothing(vm, call);
             return;
         }
         const bool asksConfiguration = std::holds_alternative<ReadConfiguration>(call.request_);
@@ -141,31 +170,30 @@
 
 StoreAnswered SessionWorld::execute(const StoreCall &call)
 {
-    Store &store = stale_ && call.freshness_ == Freshness::MayBeStale ? *stale_ : store_;
     StoreAnswered answer{call.id_, StoreResult::Done, {}};
     const Overloaded handle{
         [&](const ReadConfiguration &) {
-            answer.content_ = ConfigurationRead{store.configurationRevision_, store.configuration_};
+            answer.content_ = ConfigurationRead{store_.configurationRevision_, store_.configuration_};
         },
         [&](const WatchConfiguration &) {},
         [&](const ReadMembers &) {
-            answer.content_ = MemberDirectory{++store.revision_, store.members_, store.garbled_};
+            answer.content_ = MemberDirectory{++store_.revision_, store_.members_, store_.garbled_};
         },
         [&](const ReadVms &) {
             std::vector<EntryVm> vms;
-            for (const auto &[name, vm] : store.vms_) {
+            for (const auto &[name, vm] : store_.vms_) {
                 vms.push_back(vm);
             }
             answer.content_ = std::move(vms);
         },
         [&](const ReadClaims &) {
             std::vector<LeaderClaim> claims;
-            for (const auto &[group, claim] : store.claims_) {
+            for (const auto &[group, claim] : store_.claims_) {
                 claims.push_back(claim);
             }
             answer.content_ = std::move(claims);
         },
-        [&](const RegisterVm &body) { store.vms_[body.vm_.name_] = body.vm_; },
+        [&](const RegisterVm &body) { store_.vms_[body.vm_.name_] = body.vm_; },
         [&](const WriteClaim &body) { answer = executeWrite(call.id_, body); },
     };
     std::visit(handle, call.request_);
