A check of the store by a VM that has a newer configuration is none of the one that this VM has

A VM that hears of a version and cannot read it where it is told of took the tellers' checks for its own, and did not compare its configuration with the store's for as long as their heartbeats came. By the log: 203, no check, a small figward_configuration_age_seconds and an old version. Members did it right: marks are compared first. Now only the word of a VM whose version this one has counts. isNotTakenForCheckedWhereItLacks fails on the code before: after 3 s the check counted as 2.2 s newer than the confirmation.

--- a/src/ConfigurationReads.cpp
+++ b/src/ConfigurationReads.cpp
@@ -315,7 +315,8 @@
 void noteConfigurationOf(ProxyState &state, const VmHeartbeat &heartbeat, Time now, Effects &out)
 {
     SessionServiceState &sessions = *state.sessions_;
-    if (heartbeat.configurationAge_) {
+    // What a VM with a newer configuration compared with the store's is not what this VM has: taken for a check, it would keep this one from asking by itself.
+    if (heartbeat.configurationAge_ && heartbeat.configuration_ <= versionOf(sessions)) {
         noteChecked(sessions.schedule_.configurationCheck_, now - *heartbeat.configurationAge_);
     }
     if (versionOf(sessions) < heartbeat.configuration_) {
--- a/test/error/SessionConfigurationIsLate.cpp
+++ b/test/error/SessionConfigurationIsLate.cpp
@@ -111,3 +111,17 @@
     ASSERT_TRUE(world.vm(2).sessions_->configuration_.has_value());
     EXPECT_EQ(versionAt(world, 2), ConfigVersion(3));
 }
+
+// Guards against taking the word of a VM that has a newer configuration for a check of the one that this VM has: it never asked the store by itself then.
+TEST(SessionConfigurationIsLate, isNotTakenForCheckedWhereItLacks)
+{
+    SessionWorld world;
+    world.run(startTime);
+    world.cutVmFromStore(3, true);
+    world.mirrorsAreCutFrom(3, true);
+    world.newConfiguration([](SessionConfiguration &) {});
+    const Time confirmed = world.now();
+    world.run(applyBound);
+    ASSERT_EQ(versionAt(world, 3), ConfigVersion(3));
+    EXPECT_LT(*world.vm(3).sessions_->schedule_.configurationCheck_.askedAt_, confirmed);
+}
