What a heartbeat tells of the past counts from its sending, not from its arrival

A heartbeat that waited, on a busy link or in the socket of a VM that stood still, made an old check of the store a new one, and each VM that passed it on made it newer by the time it took: nobody asked for as long as that went on. By the log: no check, a small figward_configuration_age_seconds, an old version. The same held for the list of members, and for how lately others had heard a primary. The clock of the sender is now carried over by the heartbeat that waited least.

notByAHeartbeatThatWaited fails on the code before: after three seconds of standing still a VM took a check for 2.1 s newer than it was, and told the others so. Tried and left: counting from the sender's last word from this VM (its echo), a bound that is never too late.

--- a/src/ConfigurationReads.cpp
+++ b/src/ConfigurationReads.cpp
@@ -317,7 +317,7 @@
     SessionServiceState &sessions = *state.sessions_;
     // What a VM with a newer configuration compared with the store's is not what this VM has: taken for a check, it would keep this one from asking by itself.
     if (heartbeat.configurationAge_ && heartbeat.configuration_ <= versionOf(sessions)) {
-        noteChecked(sessions.schedule_.configurationCheck_, now - *heartbeat.configurationAge_);
+        noteChecked(sessions.schedule_.configurationCheck_, sendingTime(sessions, heartbeat, now) - *heartbeat.configurationAge_);
     }
     if (versionOf(sessions) < heartbeat.configuration_) {
         noteNewerHeard(sessions, heartbeat, now, out);
--- a/src/SessionHeartbeats.cpp
+++ b/src/SessionHeartbeats.cpp
@@ -147,10 +147,11 @@
         state.sessions_->newVms_.push_back(heartbeat.name_);
         peer.groups_.clear();
     }
+    peer.clockOffset_ = unknown ? now - heartbeat.sent_ : std::min(peer.clockOffset_, now - heartbeat.sent_);
     peer.vm_ = EntryVm{heartbeat.name_, heartbeat.from_, heartbeat.address_, heartbeat.zone_};
     peer.heard_ = now;
     peer.itsClock_ = heartbeat.sent_;
-    peer.itsClockAt_ = now;
+    peer.itsClockAt_ = sendingTime(*state.sessions_, heartbeat, now);
     peer.configuration_ = heartbeat.configuration_;
     peer.leaving_ = heartbeat.leaving_;
     peer.itsInterval_ = heartbeat.interval_;
@@ -240,6 +241,13 @@
 
 } // namespace
 
+Time sendingTime(const SessionServiceState &sessions, const VmHeartbeat &heartbeat, Time now)
+{
+    const auto peer = sessions.peers_.find(heartbeat.name_);
+    const bool known = peer != sessions.peers_.end() && peer->second.vm_.incarnation_ == heartbeat.from_;
+    return known ? heartbeat.sent_ + peer->second.clockOffset_ : now;
+}
+
 bool isDelegate(const SessionServiceState &sessions)
 {
     return sessions.delegates_.contains(sessions.identity_.vm_.name_);
--- a/src/SessionHeartbeats.h
+++ b/src/SessionHeartbeats.h
@@ -26,6 +26,11 @@
 void tellNewVms(SessionServiceState &sessions, Time now, Effects &out);
 /** Whether this VM is a delegate of its zone; never while VMs are few. */
 bool isDelegate(const SessionServiceState &sessions);
+/**
+ * When \p heartbeat was sent, by this VM's clock; too late by no more than the least time that one of the sender's heartbeats has taken. What it tells of the past counts from then: it
+ * may have waited, on a busy link or at a VM that stood still.
+ */
+Time sendingTime(const SessionServiceState &sessions, const VmHeartbeat &heartbeat, Time now);
 /** Whether \p peer was heard lately. */
 bool isFresh(const PeerVm &peer, Time now);
 
--- a/src/SharedCheck.h
+++ b/src/SharedCheck.h
@@ -11,7 +11,6 @@
 
 struct ProxyState;
 struct SessionServiceState;
-struct VmHeartbeat;
 
 /** One kind of check. */
 struct SharedCheck
--- a/src/StoreReads.cpp
+++ b/src/StoreReads.cpp
@@ -179,7 +179,7 @@
 {
     SessionServiceState &sessions = *state.sessions_;
     SharedCheck &check = sessions.schedule_.directoryCheck_;
-    const Time askedAt = now - *heartbeat.directoryAge_;
+    const Time askedAt = sendingTime(sessions, heartbeat, now) - *heartbeat.directoryAge_;
     if (heartbeat.directoryMark_ == sessions.directoryMark_) {
         noteChecked(check, askedAt);
         return;
--- a/test/error/SessionConfigurationIsLate.cpp
+++ b/test/error/SessionConfigurationIsLate.cpp
@@ -125,3 +125,21 @@
     ASSERT_EQ(versionAt(world, 3), ConfigVersion(3));
     EXPECT_LT(*world.vm(3).sessions_->schedule_.configurationCheck_.askedAt_, confirmed);
 }
+
+// Guards against a heartbeat that waited at a VM which stood still, and made the check that it told of newer than it was.
+TEST(SessionConfigurationIsLate, notByAHeartbeatThatWaited)
+{
+    SessionWorld world;
+    world.run(startTime);
+    // Each VM that passes a check's age on adds the time that a heartbeat takes.
+    const Time lastCheck = world.now() + std::chrono::milliseconds(300);
+    world.storeDown(true);
+    world.run(std::chrono::milliseconds(50));
+    world.freezeVm(3, true);
+    world.run(std::chrono::seconds(3));
+    world.freezeVm(3, false);
+    EXPECT_LE(*world.vm(3).sessions_->schedule_.configurationCheck_.askedAt_, lastCheck);
+    EXPECT_LE(*world.vm(3).sessions_->schedule_.directoryCheck_.askedAt_, lastCheck);
+    world.run(std::chrono::seconds(1));
+    EXPECT_LE(*world.vm(0).sessions_->schedule_.configurationCheck_.askedAt_, lastCheck);
+}
