An event that cannot be read is no reason to watch on behind it

A watch that was answered with an object that cannot be read counted as one without a change, and raised the revision: later watches, and checks where VMs are many, began behind the change and never brought it.

--- a/test/error/ConfigurationEventIsTakenWhole.cpp
+++ b/test/error/ConfigurationEventIsTakenWhole.cpp
@@ -30,6 +30,29 @@
 
 } // namespace
 
+// Guards against an event whose object cannot be read: the watch went on behind it, and the change was never read.
+TEST(ConfigurationEventIsTakenWhole, orNotAtAll)
+{
+    boost::asio::io_context context;
+    HttpListener store(context, [](const HttpCall & /*call*/, const HttpListener::Respond &respond) {
+        respond({200, R"({"events":[{"deleted":false,"object":{"meta":{"name":"main"},"spec":{}}}],"store_revision":13})"});
+    });
+    ASSERT_TRUE(store.open("127.0.0.1:0").ok());
+    NiceMock<MockEvents> events;
+    NoLog log;
+    Platform::StoreLink link(context, events, log, store.address());
+    std::optional<StoreResult> result;
+    ON_CALL(events, post).WillByDefault([&](const EventBody &event) {
+        if (const auto *answer = std::get_if<StoreAnswered>(&std::get<SessionEvent>(event))) {
+            result = answer->result_;
+            context.stop();
+        }
+    });
+    link.call(StoreCall{.id_ = CallId(1), .timeout_ = std::chrono::seconds(2), .request_ = WatchConfiguration{10, std::chrono::seconds(1)}});
+    context.run_for(std::chrono::seconds(5));
+    EXPECT_EQ(result, StoreResult::Unreadable);
+}
+
 // A VM with a small link watches the configuration, which takes it a second to receive. Two changes come at once, and the watch answers with both, each whole. The VM once
 // read the object again after that, and had the change in force only when it had received it twice, while statements waited behind it.
 TEST(ConfigurationEventIsTakenWhole, withoutAReadOfTheSame)
@@ -48,9 +71,7 @@
     Platform::StoreLink link(context, events, log, store.address());
     std::optional<ConfigurationRead> read;
     InSequence inOrder;
-    EXPECT_CALL(events, post).WillOnce([](const EventBody &event) {
-        EXPECT_EQ(std::get<StoreAnswerBegan>(std::get<SessionEvent>(event)).id_, CallId(1));
-    });
+    EXPECT_CALL(events, post).WillOnce([](const EventBody &event) { EXPECT_EQ(std::get<StoreAnswerBegan>(std::get<SessionEvent>(event)).id_, CallId(1)); });
     EXPECT_CALL(events, post).WillOnce([&](const EventBody &event) {
         const auto &answer = std::get<StoreAnswered>(std::get<SessionEvent>(event));
         EXPECT_EQ(answer.result_, StoreResult::Done);
