--- a/src/ConfigurationReads.cpp
+++ b/src/ConfigurationReads.cpp
@@ -214,12 +214,15 @@
         noteVmFailed(sessions, call.peer_, now);
         return;
     }
-    if (std::holds_alternative<WatchConfiguration>(call.request_)) {
+    const bool fromEvents = std::holds_alternative<WatchConfiguration>(call.request_);
+    if (fromEvents) {
         schedule.watchAt_ = now + (result == StoreResult::Unreadable ? unreadablePause : failurePause);
     }
-    if (result == StoreResult::HistoryGone) {
+    if (fromEvents && (result == StoreResult::HistoryGone || result == StoreResult::Unreadable)) {
+        sessions.configurationRevision_ = 0; // Known again after a read of the whole, which is made at once.
         schedule.configurationAt_ = now;
-        sessions.configurationRevision_ = 0; // Known again after the next read.
+    } else if (result == StoreResult::Unreadable) {
+        schedule.configurationAt_ = now + unreadablePause;
     }
     const bool isOvertaken = schedule.configurationCheck_.askedAt_ && call.sentAt_ < *schedule.configurationCheck_.askedAt_;
     if (!waitsForChange(call.request_) && !isOvertaken) {
--- a/test/error/SessionConfigurationIsLate.cpp
+++ b/test/error/SessionConfigurationIsLate.cpp
@@ -143,3 +143,18 @@
     world.run(std::chrono::seconds(1));
     EXPECT_LE(*world.vm(0).sessions_->schedule_.configurationCheck_.askedAt_, lastCheck);
 }
+
+// Guards against events that cannot be read, where VMs are many and check by events only: the whole object was never read.
+TEST(SessionConfigurationIsLate, notByEventsThatCannotBeRead)
+{
+    SessionWorldConfig config;
+    config.vms_ = 24;
+    SessionWorld world(config);
+    world.run(startTime);
+    world.garbleEvents(true);
+    world.newConfiguration([](SessionConfiguration &) {});
+    world.run(applyBound);
+    for (unsigned vm = 0; vm < 24; ++vm) {
+        EXPECT_EQ(versionAt(world, vm), ConfigVersion(5)) << vm;
+    }
+}
--- a/test/support/SessionWorld.h
+++ b/test/support/SessionWorld.h
@@ -131,6 +131,8 @@
     void watchesAreDeaf(bool deaf);
     /** No watch hears a change, however long it waits. */
     void watchesAreSilent(bool silent);
+    /** Watches and checks answer a change with something that cannot be read; reads of the whole can be. */
+    void garbleEvents(bool garbled);
     /** The VM's connections to the store go silent for good: its watch hears nothing more, and the next calls on kept connections are not answered. */
     void silenceStoreConnections(unsigned vm);
     /** The VM's calls to the mirrors of others are not answered; datagrams pass. */
@@ -277,6 +279,7 @@
     std::vector<Standin::LineGroupModel> groups_;
     Store store_;
     bool silentWatches_ = false;
+    bool garbledEvents_ = false;
     std::set<unsigned> mirrorCuts_;
     bool storeDown_ = false;
     bool storeLosesAnswers_ = false;
--- a/test/support/SessionWorldStore.cpp
+++ b/test/support/SessionWorldStore.cpp
@@ -46,6 +46,11 @@
     silentWatches_ = silent;
 }
 
+void SessionWorld::garbleEvents(bool garbled)
+{
+    garbledEvents_ = garbled;
+}
+
 void SessionWorld::silenceStoreConnections(unsigned vm)
 {
     constexpr unsigned keptConnections = 3;
@@ -120,7 +125,9 @@
                 return;
             }
             StoreAnswered answer{call.id_, StoreResult::Done, ConfigurationRead{store_.revision_, std::nullopt}};
-            if (changed) {
+            if (changed && garbledEvents_) {
+                give(vm, incarnation, SessionEvent(StoreAnswered{call.id_, StoreResult::Unreadable, {}}));
+            } else if (changed) {
                 answer.content_ = ConfigurationRead{store_.revision_, store_.configuration_};
                 answerConfiguration(vm, call, answer, askedAt);
             } else {
