A call without an answer closes the kept connections that have answered nothing since it began

Connections go silent for good and all at once. The client of HTTP took the next kept one for the next call, so that of three each cost a whole time-out: 9 s for checks of the configuration, 4.5 s for claims and members. Now the first call that gets no answer closes those that were last used before it began; the next call opens a connection. KeptConnectionsGoSilent.andOnlyOneCallHangs fails on the code before.

--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -24,6 +24,9 @@
     std::string address_;
     std::vector<std::shared_ptr<Connection>> idle_;
     bool ended_ = false;
+
+    /** A call begun then had no answer in time: connections that have answered nothing since may be silent for the same reason, and would let one call after the other hang. */
+    void closeSilentSince(std::chrono::steady_clock::time_point begun);
 };
 
 /** One connection, and at most one call on it. */
@@ -53,6 +56,7 @@
         }
         message_.body() = std::move(request.body_);
         message_.prepare_payload();
+        begun_ = std::chrono::steady_clock::now();
         stream_.expires_after(std::chrono::duration_cast<std::chrono::milliseconds>(request.timeout_));
         if (connected_) {
             write();
@@ -72,7 +76,7 @@
         stream_.async_connect(boost::asio::ip::tcp::endpoint(address->ip_, address->port_),
                               [self = shared_from_this()](const boost::system::error_code &error) {
                                   if (error) {
-                                      self->finish({}, false);
+                                      self->fail(error);
                                       return;
                                   }
                                   self->connected_ = true;
@@ -86,7 +90,7 @@
     {
         http::async_write(stream_, message_, [self = shared_from_this()](const boost::system::error_code &error, std::size_t /*size*/) {
             if (error) {
-                self->finish({}, false);
+                self->fail(error);
             } else {
                 self->read();
             }
@@ -99,7 +103,7 @@
         parser_->body_limit(bodyLimit);
         http::async_read_header(stream_, buffer_, *parser_, [self = shared_from_this()](const boost::system::error_code &error, std::size_t /*size*/) {
             if (error) {
-                self->finish({}, false);
+                self->fail(error);
                 return;
             }
             if (const OnBegan onBegan = std::exchange(self->onBegan_, nullptr); onBegan && !self->shared_->ended_) {
@@ -113,7 +117,7 @@
     {
         http::async_read(stream_, buffer_, *parser_, [self = shared_from_this()](const boost::system::error_code &error, std::size_t /*size*/) {
             if (error) {
-                self->finish({}, false);
+                self->fail(error);
                 return;
             }
             HttpResponse response{self->parser_->get().result_int(), std::move(self->parser_->get().body())};
@@ -121,9 +125,18 @@
         });
     }
 
+    void fail(const boost::system::error_code &error)
+    {
+        if (error == boost::beast::error::timeout) {
+            shared_->closeSilentSince(begun_);
+        }
+        finish({}, false);
+    }
+
     void finish(HttpResponse response, bool reusable)
     {
         stream_.expires_never();
+        answered_ = std::chrono::steady_clock::now();
         if (reusable && shared_->idle_.size() < keptConnections && !shared_->ended_) {
             shared_->idle_.push_back(shared_from_this());
         } else {
@@ -142,9 +155,18 @@
     std::unique_ptr<http::response_parser<http::string_body>> parser_;
     OnResponse onResponse_;
     OnBegan onBegan_;
+    std::chrono::steady_clock::time_point begun_; ///< Of the present call.
+    std::chrono::steady_clock::time_point answered_; ///< When the last call ended.
     bool connected_ = false;
+
+    friend struct Shared;
 };
 
+void HttpClient::Shared::closeSilentSince(std::chrono::steady_clock::time_point begun)
+{
+    std::erase_if(idle_, [&](const std::shared_ptr<Connection> &connection) { return connection->answered_ < begun; });
+}
+
 HttpClient::HttpClient(boost::asio::io_context &context, std::string address)
     : context_(context)
     , shared_(std::make_shared<Shared>())
