A VM that has a newer configuration and does not begin to answer is asked once more after a second, on a new connection

Where all VMs that have a version are out of reach for a moment, each was asked once and not again for 3 s, though the way to them was open again.

--- a/src/ConfigurationAttempts.cpp
+++ b/src/ConfigurationAttempts.cpp
@@ -13,6 +13,9 @@
 /** An answer that has begun gets at least this long, and in any case twice what the last one took. */
 constexpr Duration leastTransfer = std::chrono::milliseconds(1000);
 constexpr std::ptrdiff_t mostArriving = 2;
+/** A packet that was lost has been sent again by then. */
+constexpr Duration secondCallAfter = std::chrono::milliseconds(1000);
+constexpr std::size_t mostAtOneVm = 2;
 
 } // namespace
 
@@ -36,6 +39,14 @@
     return static_cast<std::size_t>(std::ranges::count(attempts, peer, &ConfigurationAttempt::peer_));
 }
 
+bool mayAsk(const ConfigurationAttempts &attempts, const std::string &peer, Time now)
+{
+    const auto isRecent = [&](const ConfigurationAttempt &attempt) {
+        return attempt.peer_ == peer && (attempt.beganAt_ || now - attempt.askedAt_ < secondCallAfter);
+    };
+    return std::ranges::none_of(attempts, isRecent) && countAsking(attempts, peer) < mostAtOneVm;
+}
+
 ConfigurationAttempts attemptsAtVms(const ConfigurationAttempts &attempts)
 {
     ConfigurationAttempts found;
--- a/src/ConfigurationAttempts.h
+++ b/src/ConfigurationAttempts.h
@@ -31,6 +31,8 @@
 bool mayAskAnother(const ConfigurationAttempts &attempts, Duration transfer, Time now);
 /** How many attempts ask \p peer, or the store if that is empty. */
 std::size_t countAsking(const ConfigurationAttempts &attempts, const std::string &peer);
+/** Whether \p peer may be asked: it is not being asked, or only once and in vain for so long that a new connection may reach it where the first does not. */
+bool mayAsk(const ConfigurationAttempts &attempts, const std::string &peer, Time now);
 /** Those that ask other VMs. */
 ConfigurationAttempts attemptsAtVms(const ConfigurationAttempts &attempts);
 
--- a/src/ConfigurationReads.cpp
+++ b/src/ConfigurationReads.cpp
@@ -8,6 +8,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <tuple>
 
 namespace Figward {
 
@@ -60,37 +61,38 @@
     return watch != nullptr && !isCheck(*watch);
 }
 
-void begin(ProxyState &state, StoreRequest request, const StoreSource &source, Time now, Effects &out)
+/** A second call to the same goes on a connection of its own: those that are kept may have gone silent together with that of the first. */
+void ask(ProxyState &state, StoreRequest request, const std::string &peer, Time now, Effects &out)
 {
-    const CallId call = callStore(state, std::move(request), now, out, source);
-    state.sessions_->schedule_.configurationAttempts_.push_back({call, source.peer_, now, std::nullopt});
+    const bool isSecond = countAsking(state.sessions_->schedule_.configurationAttempts_, peer) > 0;
+    const CallId call = callStore(state, std::move(request), now, out, {peer, isSecond});
+    state.sessions_->schedule_.configurationAttempts_.push_back({call, peer, now, std::nullopt});
 }
 
 void askVm(ProxyState &state, const std::string &address, Time now, Effects &out)
 {
-    begin(state, ReadConfiguration{}, {address}, now, out);
+    ask(state, ReadConfiguration{}, address, now, out);
 }
 
-/** A second call goes on a connection of its own: those that are kept may have gone silent together with that of the first. */
 void askStore(ProxyState &state, StoreRequest request, Time now, Effects &out)
 {
-    StoreSchedule &schedule = state.sessions_->schedule_;
-    schedule.configurationAt_ = now + configurationInterval;
-    const bool isSecond = countAsking(schedule.configurationAttempts_, {}) > 0;
-    begin(state, std::move(request), {{}, isSecond}, now, out);
+    state.sessions_->schedule_.configurationAt_ = now + configurationInterval;
+    ask(state, std::move(request), {}, now, out);
 }
 
-/** The VM to ask next for a newer configuration: one that has the newest, and of those the one that was heard last. */
+/** The VM to ask next for a newer configuration: one that is not being asked, of those one that has the newest, and of those the one that was heard last. */
 const PeerVm *chooseTeller(const SessionServiceState &sessions, Time now)
 {
+    const ConfigurationAttempts &attempts = sessions.schedule_.configurationAttempts_;
     const PeerVm *best = nullptr;
+    const auto isBetter = [&](const PeerVm &a, const PeerVm &b) {
+        const auto key = [&](const PeerVm &peer) { return std::tuple(countAsking(attempts, peer.vm_.address_) == 0, peer.configuration_, peer.heard_); };
+        return key(a) > key(b);
+    };
     for (const auto &[name, peer] : sessions.peers_) {
         const bool isNewer = versionOf(sessions) < peer.configuration_;
-        const bool isAsked = countAsking(sessions.schedule_.configurationAttempts_, peer.vm_.address_) > 0;
-        if (!isNewer || isAsked || !isFresh(peer, now) || now < peer.configurationAfter_) {
-            continue;
-        }
-        if (best == nullptr || std::pair(best->configuration_, best->heard_) < std::pair(peer.configuration_, peer.heard_)) {
+        if (isNewer && isFresh(peer, now) && now >= peer.configurationAfter_ && mayAsk(attempts, peer.vm_.address_, now)
+            && (best == nullptr || isBetter(peer, *best))) {
             best = &peer;
         }
     }
