A database that is not known is not refused while a newer configuration is known of

A VM that had heard of a newer version and did not have it yet refused sessions of a database that this version adds; keys that are not known already waited, for at most 1.2 s, for a configuration that some VM has lately compared with the store's. Databases now do the same; where nothing newer is to be expected they are refused at once as before. isWaitedForByASessionOfAnAddedDatabase fails on the code before; holdsNoSessionForLong holds the wait to 1.2 s.

--- a/src/SessionAccess.cpp
+++ b/src/SessionAccess.cpp
@@ -12,11 +12,11 @@
 namespace {
 
 /**
- * A key that is not known may have been added a moment ago: it is refused only by a configuration that some VM has compared with the store's latest within this
- * time. VMs compare every 1.2 s while the store answers, so a flood of unknown keys costs no call, and hardly ever a wait.
+ * A database or a key that is not known may have been added a moment ago: it is refused only by a configuration that some VM has compared with the store's latest within
+ * this time, and only while no newer one is known of. VMs compare every 1.2 s while the store answers, so a flood of unknown names costs no call, and hardly ever a wait.
  */
 constexpr Duration freshEnough = std::chrono::milliseconds(2500);
-/** A client with a key that is not known waits no longer than this for such a configuration: clients give up after some 2 s. */
+/** A client waits no longer than this for such a configuration: clients give up after some 2 s. */
 constexpr Duration longestWait = std::chrono::milliseconds(1200);
 
 /** What becomes of a session that is not accepted yet. */
@@ -27,7 +27,7 @@
     NotAuthenticated,
 };
 
-/** Whether no newer configuration is to be expected that knows more keys. */
+/** Whether no newer configuration is to be expected that knows more. */
 bool isSettled(const SessionServiceState &sessions, const ClientSession &session, Time now)
 {
     const std::optional<Time> &askedAt = sessions.schedule_.configurationCheck_.askedAt_;
@@ -42,7 +42,7 @@
     }
     const auto route = sessions.configuration_->databases_.find(session.database_);
     if (route == sessions.configuration_->databases_.end()) {
-        return Access::NoDatabase;
+        return isSettled(sessions, session, now) ? Access::NoDatabase : Access::Waits;
     }
     if (callerOf(sessions, session, route->second).admitted_) {
         return Access::Accepted;
--- a/test/error/SessionConfigurationIsLate.cpp
+++ b/test/error/SessionConfigurationIsLate.cpp
@@ -144,6 +144,39 @@
     EXPECT_LE(*world.vm(0).sessions_->schedule_.configurationCheck_.askedAt_, lastCheck);
 }
 
+// Guards against refusing a database that was added, by a VM that knows of a newer configuration and is about to have it.
+TEST(SessionConfigurationIsLate, isWaitedForByASessionOfAnAddedDatabase)
+{
+    SessionWorld world;
+    world.run(startTime);
+    world.cutVmFromStore(3, true);
+    world.mirrorsAreCutFrom(3, true);
+    world.newConfiguration([](SessionConfiguration &configuration) { configuration.databases_["added"] = configuration.databases_["ledger"]; });
+    world.run(std::chrono::milliseconds(300));
+    const std::size_t client = world.open(3, "added");
+    const std::size_t other = world.open(0, "missing");
+    world.run(std::chrono::milliseconds(300));
+    EXPECT_TRUE(world.client(other).refused_) << "nothing newer is to be expected there";
+    EXPECT_FALSE(world.client(client).refused_);
+    world.mirrorsAreCutFrom(3, false);
+    world.run(std::chrono::milliseconds(600));
+    EXPECT_TRUE(world.client(client).open_);
+}
+
+// Guards against holding sessions of a database that does not exist for long, while a newer configuration is known of and cannot be had.
+TEST(SessionConfigurationIsLate, holdsNoSessionForLong)
+{
+    SessionWorld world;
+    world.run(startTime);
+    world.cutVmFromStore(3, true);
+    world.mirrorsAreCutFrom(3, true);
+    world.newConfiguration([](SessionConfiguration &) {});
+    world.run(std::chrono::milliseconds(300));
+    const std::size_t client = world.open(3, "missing");
+    world.run(std::chrono::milliseconds(1400));
+    EXPECT_TRUE(world.client(client).refused_);
+}
+
 // Guards against events that cannot be read, where VMs are many and check by events only: the whole object was never read.
 TEST(SessionConfigurationIsLate, notByEventsThatCannotBeRead)
 {
