--- a/test/correctness/OrganisationsAreToldApart.cpp
+++ b/test/correctness/OrganisationsAreToldApart.cpp
@@ -72,8 +72,8 @@
 
 TEST(OrganisationsAreToldApart, aConfigurationNamesThemWithTheirLimits)
 {
-    const std::optional<SessionConfiguration> read = Platform::readConfiguration(boost::json::parse(privateConfiguration));
-    ASSERT_TRUE(read && read->organisations_);
+    const absl::StatusOr<SessionConfiguration> read = Platform::readConfiguration(boost::json::parse(privateConfiguration));
+    ASSERT_TRUE(read.ok() && read->organisations_);
     EXPECT_EQ(read->organisations_->limits_.at(OrganisationId("acme")), (OrganisationLimits{17.5, 20}));
     EXPECT_THAT(read->organisations_->keys_, SizeIs(2));
     EXPECT_EQ(*holderOf(*read->organisations_, digestOf("second-secret")), OrganisationId("acme"));
@@ -94,8 +94,8 @@
     boost::json::value configuration = boost::json::parse(privateConfiguration);
     Platform::hideKeys(configuration);
     EXPECT_THAT(boost::json::serialize(configuration), Not(HasSubstr("secret")));
-    const std::optional<SessionConfiguration> read = Platform::readConfiguration(configuration);
-    ASSERT_TRUE(read && read->organisations_);
+    const absl::StatusOr<SessionConfiguration> read = Platform::readConfiguration(configuration);
+    ASSERT_TRUE(read.ok() && read->organisations_);
     EXPECT_EQ(*holderOf(*read->organisations_, digestOf("first-secret")), OrganisationId("acme"));
 }
 
--- a/test/error/PlatformInputIsMalformed.cpp
+++ b/test/error/PlatformInputIsMalformed.cpp
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <boost/asio.hpp>
+#include <boost/json/parse.hpp>
 #include <gmock/gmock.h>
 #include <random>
 #include <thread>
@@ -164,7 +165,7 @@
         parseReport(mutate("replica 3 3.1209 0 12 2 17", random));
         memberOf(mutate(goodMember, random));
         const std::optional<StoreObject> object = readObject(mutate(goodConfiguration, random));
-        configurations += object && readConfiguration(object->spec_) ? 1 : 0;
+        configurations += object && readConfiguration(object->spec_).ok() ? 1 : 0;
         readList(mutate(R"({"items":[],"has_more":false,"store_revision":530})", random));
         readEvents(mutate(R"({"events":[{"deleted":false,"object":{}}],"store_revision":533})", random));
         Wire::decodeDatagram(mutate(datagram, random));
@@ -215,3 +216,15 @@
     EXPECT_EQ(listener.statements_, 0U);
     EXPECT_EQ(listener.exchange("NONSENSE\r\n", end), "ERROR MALFORMED no message of this protocol\r\n") << "the listener still serves";
 }
+
+// Guards against a configuration that cannot be read and a line that does not say where; the line shows no key.
+TEST(PlatformInputIsMalformed, aConfigurationNamesTheEntryThatCannotBeRead)
+{
+    const auto reasonOf = [](const char *routes, const char *organisations) {
+        const std::string spec = std::string(R"({"version":4,"services":[],"routes":)") + routes + R"(,"tenants":)" + organisations + "}";
+        return std::string(readConfiguration(boost::json::parse(spec)).status().message());
+    };
+    EXPECT_THAT(reasonOf(R"([{"host":"a"}])", "[]"), HasSubstr("routes[0]"));
+    EXPECT_THAT(reasonOf("[]", R"([{"name":"acme","api_keys":["secret"]},{"name":"other","api_keys":["secret",7]}])"),
+                AllOf(HasSubstr("tenants[1]"), Not(HasSubstr("secret"))));
+}
