--- a/src/ConfigurationReads.cpp
+++ b/src/ConfigurationReads.cpp
@@ -114,9 +114,8 @@
         return;
     }
     const bool storeIsFree = countAsking(attempts, {}) == 0 && now >= schedule.configurationAt_;
-    if (storeFirst && storeIsFree) {
-        askStore(state, ReadConfiguration{}, now, out);
-    } else if (const PeerVm *teller = chooseTeller(*state.sessions_, now)) {
+    const PeerVm *teller = storeFirst && storeIsFree ? nullptr : chooseTeller(*state.sessions_, now);
+    if (teller != nullptr) {
         askVm(state, teller->vm_.address_, now, out);
     } else if (schedule.reachable_ && storeIsFree) {
         askStore(state, ReadConfiguration{}, now, out);
