--- a/test/error/SessionConfigurationIsLate.cpp
+++ b/test/error/SessionConfigurationIsLate.cpp
@@ -191,3 +191,20 @@
         EXPECT_EQ(versionAt(world, vm), ConfigVersion(5)) << vm;
     }
 }
+
+// Guards against further reads of a large configuration while the first is still arriving over a small link.
+TEST(SessionConfigurationIsLate, isReadOnceWhereItTakesLong)
+{
+    SessionWorldConfig config;
+    config.vms_ = 24;
+    SessionWorld world(config);
+    world.run(startTime);
+    world.configurationTakes(std::chrono::milliseconds(1900));
+    const std::uint64_t before = world.storeCalls().at("read configuration");
+    world.newConfiguration([](SessionConfiguration &) {});
+    world.run(std::chrono::seconds(5));
+    EXPECT_LE(world.storeCalls().at("read configuration") - before, 24U);
+    for (unsigned vm = 0; vm < 24; ++vm) {
+        EXPECT_EQ(versionAt(world, vm), ConfigVersion(5)) << vm;
+    }
+}
