A store that forgets its history, or tells of a change late, keeps no VM from it, and no VM reads again and again

The list of the kind is read now, which tells the store's revision. An answer without a change is believed once a later one, 2.5 s on, agrees; watches wait 8 s, not 20, so that the revision they begin at stays within the history.

--- a/src/ConfigurationReads.cpp
+++ b/src/ConfigurationReads.cpp
@@ -14,8 +14,10 @@
 
 namespace {
 
-/** Longest wait of a watch; shorter than the store's limit, so that a watch that went silent is noticed. */
-constexpr Duration watchTime = std::chrono::seconds(20);
+/** Longest wait of a watch: the next one begins at a revision of some watches ago, which must not be older than the store's history, of some 20 s. */
+constexpr Duration watchTime = std::chrono::seconds(8);
+/** That nothing was heard of a change is believed when later answers, this long after, say so too. */
+constexpr Duration quietTime = std::chrono::milliseconds(2500);
 /** Until a VM has heard who leads and watches for it; checks find a change meanwhile. */
 constexpr Duration firstWatchAfter = std::chrono::milliseconds(1500);
 /** Pause between reads of the store. */
@@ -155,11 +157,31 @@
     }
 }
 
+/**
+ * A watch or a check has heard of no change. The store may tell of one only a second after it was made, and names a later revision meanwhile: asked from there, it would never tell
+ * of that change, and where VMs are many and check by events only, all would stay with the version before.
+ */
+void noteQuiet(SessionServiceState &sessions, std::uint64_t revision, Time now)
+{
+    std::optional<QuietRevision> &quiet = sessions.quietRevision_;
+    if (quiet && now - quiet->heardAt_ >= quietTime) {
+        sessions.configurationRevision_ = std::max(sessions.configurationRevision_, quiet->revision_);
+        quiet.reset();
+    }
+    if (!quiet) {
+        quiet = QuietRevision{revision, now};
+    }
+}
+
 void onConfigurationRead(ProxyState &state, const ConfigurationRead &read, Time now, Effects &out)
 {
     SessionServiceState &sessions = *state.sessions_;
+    if (!read.configuration_) {
+        noteQuiet(sessions, read.revision_, now);
+        return;
+    }
     sessions.configurationRevision_ = std::max(sessions.configurationRevision_, read.revision_);
-    if (!read.configuration_ || read.configuration_->version_ <= versionOf(sessions)) {
+    if (read.configuration_->version_ <= versionOf(sessions)) {
         return;
     }
     sessions.configuration_ = read.configuration_;
@@ -221,6 +243,7 @@
     }
     if (fromEvents && (result == StoreResult::HistoryGone || result == StoreResult::Unreadable)) {
         sessions.configurationRevision_ = 0; // Known again after a read of the whole, which is made at once.
+        sessions.quietRevision_.reset();
         schedule.configurationAt_ = now;
     } else if (result == StoreResult::Unreadable) {
         schedule.configurationAt_ = now + unreadablePause;
--- a/src/SessionEvents.h
+++ b/src/SessionEvents.h
@@ -167,8 +167,8 @@
 /** A configuration and the revision it was read at. */
 struct ConfigurationRead
 {
-    std::uint64_t revision_ = 0;
-    std::optional<SessionConfiguration> configuration_; ///< Absent: nothing new.
+    std::uint64_t revision_ = 0; ///< Of the store; what changes later is no part of it.
+    std::optional<SessionConfiguration> configuration_; ///< Absent: nothing new was heard of.
     std::size_t bytes_ = 0; ///< Of the answers that brought it.
 };
 using StoreContent = std::variant<std::monostate, ConfigurationRead, MemberDirectory, std::vector<EntryVm>, std::vector<LeaderClaim>>;
--- a/src/SessionState.h
+++ b/src/SessionState.h
@@ -218,6 +218,13 @@
     Time sentAt_;
 };
 
+/** A revision of the store up to which no change of the configuration was heard of. */
+struct QuietRevision
+{
+    std::uint64_t revision_ = 0;
+    Time heardAt_;
+};
+
 /** When the store is asked next. */
 struct StoreSchedule
 {
@@ -312,7 +319,8 @@
 {
     SessionIdentity identity_;
     std::optional<SessionConfiguration> configuration_;
-    std::uint64_t configurationRevision_ = 0;
+    std::uint64_t configurationRevision_ = 0; ///< Watches and checks ask for what changed since; zero: the whole must be read.
+    std::optional<QuietRevision> quietRevision_; ///< Takes the place of the one above after a while.
     ConfigVersion newestHeard_; ///< Of the configurations that other VMs have.
     ConfigurationDelay delay_;
     std::uint64_t directoryRevision_ = 0;
--- a/test/error/SessionConfigurationIsLate.cpp
+++ b/test/error/SessionConfigurationIsLate.cpp
@@ -208,3 +208,43 @@
         EXPECT_EQ(versionAt(world, vm), ConfigVersion(5)) << vm;
     }
 }
+
+// Guards against reads of the whole that follow each other for as long as nothing changes: the revision of the object alone may be older than the store's history, and a watch
+// from there is refused at once.
+TEST(SessionConfigurationIsLate, isNotReadAgainAndAgainAfterTheHistoryIsGone)
+{
+    SessionWorld world;
+    world.run(startTime);
+    const auto callsInTenSeconds = [&] {
+        const std::map<std::string, std::uint64_t> before = world.storeCalls();
+        world.run(std::chrono::seconds(10));
+        const auto made = [&](const std::string &kind) { return world.storeCalls().at(kind) - before.at(kind); };
+        return made("read configuration") + made("watch configuration");
+    };
+    const std::uint64_t calm = callsInTenSeconds();
+    world.dropHistory();
+    world.run(std::chrono::seconds(1));
+    EXPECT_LE(callsInTenSeconds(), calm + 4) << "one call more of each VM";
+}
+
+// Guards against a check that hears nothing of a change that was made, and moves on behind it: the one VM that the store answers did not find it again.
+TEST(SessionConfigurationIsLate, notByAChangeThatACheckHeardNothingOf)
+{
+    SessionWorldConfig config;
+    config.vms_ = 24;
+    SessionWorld world(config);
+    world.run(startTime);
+    for (unsigned vm = 1; vm < 24; ++vm) {
+        world.cutVmFromStore(vm, true);
+    }
+    world.watchesAreDeaf(true);
+    world.run(std::chrono::seconds(3));
+    world.watchesAreSilent(true);
+    world.newConfiguration([](SessionConfiguration &) {});
+    world.run(std::chrono::milliseconds(1800));
+    world.watchesAreSilent(false);
+    world.run(std::chrono::milliseconds(3200));
+    for (unsigned vm = 0; vm < 24; ++vm) {
+        EXPECT_EQ(versionAt(world, vm), ConfigVersion(5)) << vm;
+    }
+}
--- /dev/null
+++ b/test/fuzz/ConfigurationUnderFaults.cpp
@@ -0,0 +1,196 @@
+#include "support/SessionWorld.h"
+
+#include <absl/strings/str_cat.h>
+#include <gmock/gmock.h>
+
+#include <array>
+#include <cstdlib>
+
+using namespace Figward;
+using namespace Figward::Testing;
+using namespace testing;
+
+namespace {
+
+constexpr Duration startTime = std::chrono::seconds(4);
+/** By then a confirmed configuration is in force at each VM that runs and is heard by others, where VMs are few and where they are many. */
+constexpr Duration applyBound = std::chrono::milliseconds(3000);
+constexpr Duration applyBoundOfMany = std::chrono::milliseconds(5000);
+constexpr Duration freezeTime = std::chrono::milliseconds(5500);
+constexpr Duration healTime = std::chrono::seconds(7);
+constexpr Duration hiddenTime = std::chrono::seconds(1);
+constexpr unsigned rounds = 3;
+constexpr unsigned mostFrozen = 2;
+
+/** One day: each round a change, beside a store that is silent to some VMs, watches and connections that hear nothing, and VMs that stand still as the word spreads. */
+class FaultyDay
+{
+public:
+    explicit FaultyDay(std::uint64_t seed)
+        : random_(seed)
+        , vms_(chooseSize())
+        , world_(worldConfig(vms_, seed))
+    {
+    }
+
+    std::vector<std::string> play()
+    {
+        world_.run(startTime);
+        for (unsigned round = 0; round < rounds; ++round) {
+            playRound();
+        }
+        if (std::getenv("FIGWARD_FUZZ_STORY") != nullptr) {
+            std::fputs(world_.logText().c_str(), stderr);
+        }
+        return found_;
+    }
+
+private:
+    unsigned chooseSize()
+    {
+        constexpr std::array<unsigned, 4> sizes{4, 8, 12, 24};
+        return sizes[random_() % sizes.size()];
+    }
+
+    static SessionWorldConfig worldConfig(unsigned vms, std::uint64_t seed)
+    {
+        SessionWorldConfig config;
+        config.vms_ = vms;
+        config.seed_ = seed;
+        return config;
+    }
+
+    bool chance(unsigned percent)
+    {
+        return random_() % 100 < percent;
+    }
+
+    Duration randomBelow(Duration most)
+    {
+        return Duration(static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(most.count())));
+    }
+
+    void playRound()
+    {
+        // One VM at least goes on and is answered by the store: nobody else could learn of the change.
+        const unsigned sound = static_cast<unsigned>(random_() % vms_);
+        disturbStore(sound);
+        world_.run(randomBelow(std::chrono::seconds(3)));
+        if (chance(50)) {
+            hideFromWatches();
+        }
+        world_.newConfiguration([](SessionConfiguration &) {});
+        expected_ = ConfigVersion(expected_.value() + 2);
+        const std::set<unsigned> frozen = freezeSome(sound);
+        runAndCompare(vms_ > 12 ? applyBoundOfMany : applyBound);
+        for (unsigned vm = 0; vm < vms_; ++vm) {
+            if (!frozen.contains(vm) && versionAt(vm) < expected_) {
+                found_.push_back(absl::StrCat("vm-", vm, " of ", vms_, " has ", versionAt(vm).value(), " in place of ", expected_.value()));
+            }
+        }
+        heal();
+    }
+
+    void disturbStore(unsigned sound)
+    {
+        for (unsigned vm = 0; vm < vms_; ++vm) {
+            world_.cutVmFromStore(vm, vm != sound && chance(50));
+        }
+        world_.watchesAreDeaf(chance(50));
+        if (chance(30)) {
+            for (unsigned vm = 0; vm < vms_; ++vm) {
+                world_.silenceStoreConnections(vm);
+            }
+        }
+    }
+
+    /** For a second around the change no watch hears anything, then the store forgets its history. */
+    void hideFromWatches()
+    {
+        world_.watchesAreSilent(true);
+        world_.run(randomBelow(hiddenTime));
+        world_.after(hiddenTime, [this] {
+            world_.watchesAreSilent(false);
+            world_.dropHistory();
+        });
+    }
+
+    std::set<unsigned> freezeSome(unsigned sound)
+    {
+        std::set<unsigned> frozen;
+        for (unsigned n = 0; n < mostFrozen; ++n) {
+            const unsigned vm = static_cast<unsigned>(random_() % vms_);
+            if (vm != sound && frozen.insert(vm).second) {
+                const Duration delay = chance(50) ? randomBelow(std::chrono::milliseconds(30)) : randomBelow(std::chrono::seconds(2));
+                world_.after(delay, [this, vm] { world_.freezeVm(vm, true); });
+                world_.after(delay + freezeTime, [this, vm] { world_.freezeVm(vm, false); });
+            }
+        }
+        return frozen;
+    }
+
+    void heal()
+    {
+        for (unsigned vm = 0; vm < vms_; ++vm) {
+            world_.cutVmFromStore(vm, false);
+        }
+        world_.watchesAreDeaf(false);
+        runAndCompare(healTime);
+    }
+
+    ConfigVersion versionAt(unsigned vm)
+    {
+        return world_.vm(vm).sessions_->configuration_->version_;
+    }
+
+    /** Lets time pass; no VM goes back to a lower version. */
+    void runAndCompare(Duration duration)
+    {
+        constexpr Duration step = std::chrono::milliseconds(100);
+        std::map<unsigned, ConfigVersion> highest;
+        for (Duration passed{}; passed < duration; passed += step) {
+            world_.run(step);
+            for (unsigned vm = 0; vm < vms_; ++vm) {
+                if (versionAt(vm) < highest[vm]) {
+                    found_.push_back(absl::StrCat("vm-", vm, " went back to ", versionAt(vm).value()));
+                }
+                highest[vm] = versionAt(vm);
+            }
+        }
+    }
+
+    std::mt19937_64 random_;
+    unsigned vms_;
+    SessionWorld world_;
+    ConfigVersion expected_{3};
+    std::vector<std::string> found_;
+};
+
+std::uint64_t setting(const char *name, std::uint64_t fallback)
+{
+    const char *value = std::getenv(name);
+    return value == nullptr ? fallback : std::stoull(value);
+}
+
+class ConfigurationUnderFaults : public TestWithParam<std::uint64_t>
+{
+};
+
+} // namespace
+
+// Guards against any wait for a silent source, of a VM or of all, that keeps a confirmed configuration from being in force in time, and against going back.
+TEST_P(ConfigurationUnderFaults, isInForceInTimeAndNeverReverts)
+{
+    EXPECT_THAT(FaultyDay(GetParam()).play(), IsEmpty());
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, ConfigurationUnderFaults, Range<std::uint64_t>(1, 61), PrintToStringParamName());
+
+TEST(LongConfigurationUnderFaults, isInForceInTimeAndNeverReverts)
+{
+    const std::uint64_t first = setting("FIGWARD_FUZZ_FIRST", 1000);
+    const std::uint64_t count = setting("FIGWARD_FUZZ_SEEDS", 2000);
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+        EXPECT_THAT(FaultyDay(seed).play(), IsEmpty()) << "seed " << seed;
+    }
+}
--- a/test/support/SessionWorld.h
+++ b/test/support/SessionWorld.h
@@ -131,6 +131,8 @@
     void watchesAreDeaf(bool deaf);
     /** No watch hears a change, however long it waits. */
     void watchesAreSilent(bool silent);
+    /** The store forgets what changed before: watches and checks from then are told so. */
+    void dropHistory();
     /** Watches and checks answer a change with something that cannot be read; reads of the whole can be. */
     void garbleEvents(bool garbled);
     /** The VM's connections to the store go silent for good: its watch hears nothing more, and the next calls on kept connections are not answered. */
@@ -210,6 +212,7 @@
         std::uint64_t revision_ = 10;
         SessionConfiguration configuration_;
         std::uint64_t configurationRevision_ = 10;
+        std::uint64_t oldestRevision_ = 0; ///< Changes before are forgotten.
         std::vector<DirectoryEntry> members_;
         std::set<std::string> garbled_; ///< Names of entries that cannot be understood.
         std::map<std::string, EntryVm> vms_;
--- a/test/support/SessionWorldStore.cpp
+++ b/test/support/SessionWorldStore.cpp
@@ -46,6 +46,11 @@
     silentWatches_ = silent;
 }
 
+void SessionWorld::dropHistory()
+{
+    store_.oldestRevision_ = store_.revision_;
+}
+
 void SessionWorld::garbleEvents(bool garbled)
 {
     garbledEvents_ = garbled;
@@ -119,6 +124,11 @@
                  poll,
                  askedAt = now_] {
             const bool hears = (!deafWatches_ || !waitsLong) && silences == vms_[vm].silences_;
+            if (since < store_.oldestRevision_ && silences == vms_[vm].silences_ && !storeDown_ && !storeCuts_.contains(vm)) {
+                give(vm, incarnation, SessionEvent(StoreAnswered{call.id_, StoreResult::HistoryGone, {}}));
+                schedule(now_, [poll] { *poll = nullptr; });
+                return;
+            }
             const bool changed = hears && store_.configurationRevision_ > since && !silentWatches_ && !storeDown_ && !storeCuts_.contains(vm);
             if (!changed && now_ < end && vms_[vm].incarnation_ == incarnation) {
                 schedule(now_ + std::chrono::milliseconds(5), *poll);
@@ -180,7 +190,7 @@
     StoreAnswered answer{call.id_, StoreResult::Done, {}};
     const Overloaded handle{
         [&](const ReadConfiguration &) {
-            answer.content_ = ConfigurationRead{store_.configurationRevision_, store_.configuration_};
+            answer.content_ = ConfigurationRead{store_.revision_, store_.configuration_};
         },
         [&](const WatchConfiguration &) {},
         [&](const ReadMembers &) {
