--- a/src/ConfigurationReads.cpp
+++ b/src/ConfigurationReads.cpp
@@ -273,7 +273,8 @@
 {
     StoreSchedule &schedule = state.sessions_->schedule_;
     const bool isKnown = state.sessions_->configuration_ && state.sessions_->configurationRevision_ != 0;
-    return (!isKnown || isCheckDue(state, schedule.configurationCheck_, checkInterval, now)) && now >= schedule.configurationAt_;
+    const bool isDue = !isKnown || isCheckDue(state, schedule.configurationCheck_, checkInterval, now);
+    return isDue && now >= schedule.configurationAt_;
 }
 
 void watchIfDue(ProxyState &state, Time now, Effects &out)
--- a/src/SessionState.h
+++ b/src/SessionState.h
@@ -198,8 +198,7 @@
     std::optional<Time> heard_;
     Time itsClock_; ///< When it sent the newest heartbeat that came.
     Time itsClockAt_; ///< When that was, by this VM's clock; see sendingTime().
-    Duration
-        clockOffset_{}; ///< Least time by which this VM's clock at the arrival of a heartbeat was ahead of its clock at sending: of the one that waited least.
+    Duration clockOffset_{}; ///< From its clock at sending to this VM's at arrival, of the heartbeat that took least.
     ConfigVersion configuration_;
     Time configurationAfter_; ///< It is not asked for it before.
     Duration itsInterval_ = heartbeatInterval; ///< Until its next one to this VM, by its own word.
