--- a/src/ConfigurationReads.cpp
+++ b/src/ConfigurationReads.cpp
@@ -103,8 +103,8 @@
 
 /**
  * Another VM has a newer configuration. It is read there, or where VMs are many from the store as long as that answers: there the few VMs that know it first would
- * send it to all others over their own links. One that told of it may have gone silent since, so that the next is asked as soon as that one is overdue: it
- * once held up the VM that asked it for 3 s, while all others had the version.
+ * send it to all others over their own links. One that told of it may have gone silent since, and would hold up this VM for a whole
+ * time-out while all others have the version: the next is asked as soon as that one is overdue.
  */
 void askForNewer(ProxyState &state, Time now, Effects &out)
 {
