--- a/src/ConfigurationReads.cpp
+++ b/src/ConfigurationReads.cpp
@@ -1,5 +1,6 @@
 #include "ConfigurationReads.h"
 
+#include "FirstReads.h"
 #include "HeartbeatPace.h"
 #include "ProxyState.h"
 #include "SessionAccess.h"
@@ -42,6 +43,8 @@
 constexpr std::size_t maxAtStore = 2;
 /** A read of the configuration that takes longer is logged: on a link that is not busy even a large configuration takes about a second. */
 constexpr Duration slowReadTime = std::chrono::milliseconds(1000);
+/** A VM that has not received a newer configuration from another one within this time reads it from the store. */
+constexpr Duration passOnTimeout = std::chrono::milliseconds(2500);
 /** Delay before a failed call is retried. */
 constexpr Duration retryDelay = std::chrono::milliseconds(300);
 /** Delay after an answer that cannot be parsed: the object stays so until an operator changes it. */
@@ -115,6 +118,19 @@
     return best;
 }
 
+/**
+ * Whether the newer configuration is left to other VMs: they have it, and pass it on from one to the next. If every VM of a fleet of hundreds read it from the
+ * store, each change would take the store's whole link for seconds.
+ */
+bool awaitsOtherVms(const SessionServiceState &sessions, Time now)
+{
+    if (!sessions.onDemand_ || sessions.relays_.contains(sessions.identity_.vm_.name_) || timeBehind(sessions, now).value_or(Duration(0)) > passOnTimeout) {
+        return false;
+    }
+    const auto hasNewer = [&](const auto &entry) { return versionOf(sessions) < entry.second.configuration_ && wasHeardRecently(entry.second, now); };
+    return std::ranges::any_of(sessions.peers_, hasNewer);
+}
+
 /**
  * Reads a newer configuration that another VM has. In a small fleet it is read from such a VM. In a large one it is read from the store as long as that
  * answers, since otherwise the few VMs that have it first would send it to all others over their own links. A VM that announced the configuration may have
@@ -124,7 +140,8 @@
 void readNewer(ProxyState &state, Time now, Effects &out)
 {
     StoreSchedule &schedule = state.sessions_->schedule_;
-    const bool storeFirst = isLargeFleet(*state.sessions_) && schedule.reachable_;
+    const bool passedOn = awaitsOtherVms(*state.sessions_, now);
+    const bool storeFirst = isLargeFleet(*state.sessions_) && schedule.reachable_ && !passedOn;
     const ConfigurationAttempts &attempts = schedule.configurationAttempts_;
     // In a small fleet a check in flight is not waited for: it may have been sent before the change.
     if (!mayStartAnother(storeFirst ? attempts : attemptsAtVms(attempts), schedule.transferTime_, now)) {
@@ -134,7 +151,7 @@
     const PeerVm *newerPeer = storeFirst && mayCallStore ? nullptr : choosePeerWithNewer(*state.sessions_, now);
     if (newerPeer != nullptr) {
         readFromVm(state, newerPeer->vm_.address_, now, out);
-    } else if (schedule.reachable_ && mayCallStore) {
+    } else if (schedule.reachable_ && mayCallStore && !passedOn) {
         callStoreForConfiguration(state, ReadConfiguration{}, now, out);
     }
 }
@@ -147,7 +164,7 @@
         return;
     }
     const bool storeIsSilent = !schedule.reachable_ || countAttemptsAt(schedule.configurationAttempts_, {}) > 0;
-    const std::string peer = storeIsSilent ? chooseReadPeer(state, now) : std::string();
+    const std::string peer = storeIsSilent ? chooseReadPeer(state, now) : chooseFirstSource(state, now);
     if (!peer.empty() && countAttemptsAt(schedule.configurationAttempts_, peer) == 0) {
         state.sessions_->schedule_.configurationAt_ = now + configurationInterval;
         readFromVm(state, peer, now, out);
@@ -289,7 +306,7 @@
 {
     StoreSchedule &schedule = state.sessions_->schedule_;
     const bool isKnown = state.sessions_->configuration_ && state.sessions_->configurationRevision_ != 0;
-    const bool isDue = !isKnown || isCheckDue(state, schedule.configurationCheck_, checkInterval, now);
+    const bool isDue = isKnown ? isCheckDue(state, schedule.configurationCheck_, checkInterval, now) : !awaitsVmList(*state.sessions_, now);
     return isDue && now >= schedule.configurationAt_;
 }
 
--- a/src/ConnectionSharing.cpp
+++ b/src/ConnectionSharing.cpp
@@ -11,8 +11,11 @@
 /** Interval at which persistent connections are reassigned. VMs and members change rarely, and an assignment costs a hash for each pair of them. */
 constexpr Duration assignmentInterval = std::chrono::seconds(1);
 
-bool sharesConnections(const PeerVm &peer, Time now)
+bool sharesConnections(const SessionServiceState &sessions, const PeerVm &peer, Time now)
 {
+    if (sessions.onDemand_ && !peer.lastReceivedAt_) {
+        return peer.registered_; // It may be heard only after minutes.
+    }
     return peer.lastReceivedAt_ && now - *peer.lastReceivedAt_ < sharingTimeout + (peer.sendInterval_ - heartbeatInterval);
 }
 
@@ -46,7 +49,7 @@
 {
     std::vector<VmLocation> others;
     for (const auto &[name, peer] : sessions.peers_) {
-        if (sharesConnections(peer, now)) {
+        if (sharesConnections(sessions, peer, now)) {
             others.push_back({peer.vm_.incarnation_, peer.vm_.zone_});
         }
     }
@@ -59,7 +62,7 @@
 {
     unsigned count = 1;
     for (const auto &[name, peer] : sessions.peers_) {
-        count += sharesConnections(peer, now) ? 1 : 0;
+        count += sharesConnections(sessions, peer, now) ? 1 : 0;
     }
     return count;
 }
@@ -90,8 +93,8 @@
     }
     group.persistentMembersReviewAt_ = now + assignmentInterval;
     group.persistentMembers_.clear();
-    if (!usesTemporaryConnections(sessions, group)) {
-        return; // Each VM has a share of each member's connections.
+    if (sessions.onDemand_ || !usesTemporaryConnections(sessions, group)) {
+        return; // A VM meets a group too seldom to keep a connection for it, or each VM has a share of each member's connections.
     }
     const VmLocation self{sessions.identity_.vm_.incarnation_, sessions.identity_.vm_.zone_};
     const std::vector<VmLocation> others = otherVms(sessions, now);
--- a/src/CutOff.cpp
+++ b/src/CutOff.cpp
@@ -1,11 +1,13 @@
 #include "CutOff.h"
 
 #include "ConnectionSharing.h"
+#include "GroupInterest.h"
 #include "MemberConnections.h"
 #include "SessionHeartbeats.h"
 
 #include <algorithm>
 #include <set>
+#include <vector>
 
 namespace Figward {
 
@@ -13,6 +15,12 @@
 
 /** Silence after which a VM or member counts as lost: four consecutive heartbeats or probes were missed. */
 constexpr Duration lossTimeout = std::chrono::milliseconds(1100);
+/** Silence after which \p peer counts as lost; close peers may send at longer intervals where VMs are many. */
+Duration lossTimeoutOf(const PeerVm &peer)
+{
+    return lossTimeout + (peer.close_ ? peer.sendInterval_ - heartbeatInterval : Duration(0));
+}
+
 /** VMs that have been silent for longer are assumed to be down for other reasons and do not indicate a split. */
 constexpr Duration recentlyHeardTime = std::chrono::seconds(12);
 
@@ -49,7 +57,7 @@
         }
         if (peer.vm_.zone_ == sessions.identity_.vm_.zone_) {
             ++inside;
-        } else if (peer.lastReceivedAt_ && now - *peer.lastReceivedAt_ < lossTimeout) {
+        } else if (peer.lastReceivedAt_ && now - *peer.lastReceivedAt_ < lossTimeoutOf(peer)) {
             return false;
         } else {
             ++outside;
@@ -62,22 +70,37 @@
     return isSmallerPart && now - sessions.startedAt_ > lossTimeout && !hearsMembersElsewhere(sessions, now);
 }
 
+/** The groups over whose primaries this VM should have authority now. */
+std::vector<const SessionGroup *> followedGroups(const SessionServiceState &sessions, Time now)
+{
+    std::vector<const SessionGroup *> followed;
+    forEachReviewedGroup(sessions, [&](const SessionGroup &group) {
+        if (isFollowed(sessions, group, now)) {
+            followed.push_back(&group);
+        }
+    });
+    return followed;
+}
+
 /**
  * Whether this VM has lost more than half of the VMs that it heard recently and can use no primary. Both conditions are required: if many VMs lose power at
  * once, the remaining ones must still serve; and a primary that no VM can use is replaced in about a second where most VMs hear each other.
  */
 bool isLeftInMinority(const SessionServiceState &sessions, Time now)
 {
-    const auto reached = [&](const auto &entry) { return reachesPrimary(sessions, entry.second, now); };
-    return !hearsAtLeastHalf(sessions, lossTimeout, now) && std::ranges::none_of(sessions.groups_, reached);
+    const std::vector<const SessionGroup *> groups = followedGroups(sessions, now);
+    const auto reached = [&](const SessionGroup *group) { return reachesPrimary(sessions, *group, now); };
+    const bool isIdle = sessions.onDemand_ && groups.empty();
+    return !isIdle && !hearsAtLeastHalf(sessions, lossTimeout, now) && std::ranges::none_of(groups, reached);
 }
 
 /** Whether all groups that have members are served by other VMs but not by this one. */
 bool areAllServedElsewhere(const SessionServiceState &sessions, Time now)
 {
-    const auto served = [&](const auto &entry) { return entry.second.members_.empty() || isPrimaryHeardElsewhere(sessions, entry.second, now); };
-    const auto hasMembers = [](const auto &entry) { return !entry.second.members_.empty(); };
-    return std::ranges::any_of(sessions.groups_, hasMembers) && std::ranges::all_of(sessions.groups_, served);
+    const std::vector<const SessionGroup *> groups = followedGroups(sessions, now);
+    const auto served = [&](const SessionGroup *group) { return group->members_.empty() || isPrimaryHeardElsewhere(*group, now); };
+    const auto hasMembers = [](const SessionGroup *group) { return !group->members_.empty(); };
+    return std::ranges::any_of(groups, hasMembers) && std::ranges::all_of(groups, served);
 }
 
 } // namespace
@@ -98,10 +121,10 @@
     unsigned known = 1;
     unsigned heard = 1;
     for (const auto &[name, peer] : sessions.peers_) {
-        const bool usesShortInterval = peer.sendInterval_ == heartbeatInterval;
-        if (peer.lastReceivedAt_ && usesShortInterval && now - *peer.lastReceivedAt_ < recentlyHeardTime && !peer.leaving_) {
+        const bool isClose = sessions.onDemand_ ? peer.close_ : peer.sendInterval_ == heartbeatInterval;
+        if (peer.lastReceivedAt_ && isClose && now - *peer.lastReceivedAt_ < recentlyHeardTime && !peer.leaving_) {
             ++known;
-            heard += now - *peer.lastReceivedAt_ < within ? 1 : 0;
+            heard += now - *peer.lastReceivedAt_ < within + (peer.sendInterval_ - heartbeatInterval) ? 1 : 0;
         }
     }
     return heard * 2 >= known;
@@ -120,17 +143,14 @@
     return (member.lastAnsweredAt_ && now - *member.lastAnsweredAt_ < lossTimeout) || (member.refusedAt_ && now - *member.refusedAt_ < lossTimeout);
 }
 
-bool isPrimaryHeardElsewhere(const SessionServiceState &sessions, const SessionGroup &group, Time now)
+bool isPrimaryHeardElsewhere(const SessionGroup &group, Time now)
 {
-    if (!group.primaryLostAt_ || now - *group.primaryLostAt_ < replacementTime) {
+    // A VM that has just been told of a new primary has not asked it yet, and does not know whether it reaches it.
+    const bool isNew = group.primaryLostMember_ != group.authority_.primary_;
+    if (isNew || !group.primaryLostAt_ || now - *group.primaryLostAt_ < replacementTime) {
         return false;
     }
-    return std::ranges::any_of(sessions.peers_, [&](const auto &entry) {
-        const PeerVm &peer = entry.second;
-        const auto beat = peer.groups_.find(group.id_);
-        const bool reportsGroup = wasHeardRecently(peer, now) && beat != peer.groups_.end() && beat->second.epoch_ >= group.authority_.epoch_;
-        return reportsGroup && beat->second.primaryAnswerAge_ && *beat->second.primaryAnswerAge_ + (now - peer.localSendTime_) < lossTimeout;
-    });
+    return group.primaryHeardEpoch_ >= group.authority_.epoch_ && now - group.primaryHeardAt_ < lossTimeout;
 }
 
 std::optional<CutOffReason> findCutOff(const SessionServiceState &sessions, Time now)
--- a/src/CutOff.h
+++ b/src/CutOff.h
@@ -35,7 +35,7 @@
  * Whether the group's primary, which this VM has been unable to use for longer than a replacement takes, is heard by other VMs: statements that need the
  * primary should be sent there.
  */
-bool isPrimaryHeardElsewhere(const SessionServiceState &sessions, const SessionGroup &group, Time now);
+bool isPrimaryHeardElsewhere(const SessionGroup &group, Time now);
 
 /** Whether no VM of another zone has been heard for so long that members there should be probed to determine whether the zone is cut off. */
 bool shouldProbeOtherZones(const SessionServiceState &sessions, Time now);
--- a/src/Delegates.h
+++ b/src/Delegates.h
@@ -13,6 +13,7 @@
 #include <absl/types/span.h>
 #include <cstddef>
 #include <map>
+#include <set>
 #include <string>
 
 namespace Figward {
@@ -37,5 +38,16 @@
  * know the same VMs, and after a VM has been restarted.
  */
 std::map<std::string, DelegateRole> chooseDelegates(absl::Span<const DelegateCandidate> vms, unsigned leaders);
+/**
+ * Chooses the relays of each zone: the first two of its delegates. All VMs of the zone exchange heartbeats with them, and learn from them of a new configuration
+ * and of changed members, however many delegates lead groups.
+ */
+std::set<std::string> chooseRelays(absl::Span<const DelegateCandidate> vms);
+/**
+ * Whether VMs ask a group's leader for authority only while they use the group. Otherwise each leader sends to all VMs, and in a fleet of few VMs every
+ * heartbeat names all \p groups. That costs less as long as the groups and their \p leaders are few; more of them would send each VM more heartbeats than it
+ * can spare, or more groups than fit into a datagram.
+ */
+bool exchangesOnDemand(std::size_t groups, std::size_t leaders);
 
 } // namespace Figward
--- a/src/GroupLeadership.cpp
+++ b/src/GroupLeadership.cpp
@@ -1,6 +1,8 @@
 #include "GroupLeadership.h"
 
 #include "CutOff.h"
+#include "GroupInterest.h"
+#include "PlannedRevocation.h"
 #include "PrimaryReplacement.h"
 #include "ProxyState.h"
 #include "Rendezvous.h"
@@ -26,6 +28,8 @@
 constexpr Duration writeRetryDelay = std::chrono::milliseconds(200);
 /** VMs attempt to claim a group one after the other, this far apart, so that a VM usually finds the claim already taken by the one ranked before it. */
 constexpr Duration claimStep = std::chrono::milliseconds(120);
+/** Replaces claimStep where groups are exchanged on demand: others learn of a claim by reading the claims again. */
+constexpr Duration onDemandClaimStep = std::chrono::milliseconds(2000);
 /** A leader whose store calls have failed for this long resigns if other VMs receive answers. A shorter period would react to the failure of a single call. */
 constexpr Duration storeFailureTimeout = std::chrono::milliseconds(600);
 /**
@@ -40,6 +44,8 @@
 constexpr Duration firstClaimDelay = std::chrono::milliseconds(1200);
 /** Time after the start by which a group that never had a leader has one. */
 constexpr Duration firstLeaderTimeout = std::chrono::seconds(4);
+/** Silence after which a VM that uses a group and asks its leader reads the claim from the store. */
+constexpr Duration askedLeaderSilence = std::chrono::milliseconds(300);
 /**
  * A VM that is not a delegate reads the claims from the store only when its authority expires within this time: by then the delegates of its zone, or a new
  * leader, have usually renewed it.
@@ -53,19 +59,17 @@
 unsigned claimRank(ProxyState &state, const SessionGroup &group, Time now)
 {
     const SessionServiceState &sessions = *state.sessions_;
-    const MemberId primary = group.storedClaim_ ? group.storedClaim_->primary_ : MemberId();
-    const MemberState *primaryMember = findMember(state, primary);
-    const ZoneId zone = primaryMember != nullptr ? primaryMember->entry_.zone_ : ZoneId();
-    const GroupId key(group.id_.value());
-    const auto order = [&](const EntryVm &vm) {
-        const auto delegate = sessions.delegates_.find(vm.name_);
-        const auto role = delegate == sessions.delegates_.end() ? std::nullopt : std::optional(delegate->second);
-        return std::tuple(vm.zone_ != zone, role, rendezvousWeight(key, vm.incarnation_));
-    };
-    const auto mine = order(sessions.identity_.vm_);
+    const LeaderRank mine = leaderRankOf(state, group, sessions.identity_.vm_);
     unsigned before = 0;
+    if (sessions.onDemand_) {
+        for (const auto &[name, role] : sessions.delegates_) {
+            const auto peer = sessions.peers_.find(name);
+            before += peer != sessions.peers_.end() && mine < leaderRankOf(state, group, peer->second.vm_) ? 1 : 0;
+        }
+        return before;
+    }
     for (const auto &[name, peer] : sessions.peers_) {
-        if (wasHeardRecently(peer, now) && !peer.leaving_ && order(peer.vm_) > mine) {
+        if (wasHeardRecently(peer, now) && !peer.leaving_ && mine < leaderRankOf(state, group, peer.vm_)) {
             ++before;
         }
     }
@@ -113,7 +117,9 @@
     const bool mayClaim = state.sessions_->schedule_.registered_ && state.sessions_->schedule_.reachable_ && !state.sessions_->drainSince_
                           && !isZoneCutOff(*state.sessions_) && !group.members_.empty() && !group.claimWrite_;
     const bool claimWasRead = group.storedClaim_.has_value();
-    const bool leaderHeard = now - group.lastLeaderHeartbeat_ < leaderSilenceTimeout && group.lastLeaderHeartbeat_ != Time();
+    const bool heardDirectly = now - group.lastLeaderHeartbeat_ < leaderSilenceTimeout && group.lastLeaderHeartbeat_ != Time();
+    const bool onDemand = state.sessions_->onDemand_;
+    const bool leaderHeard = onDemand ? !isDelegate(*state.sessions_) || isLedElsewhere(*state.sessions_, group, now) : heardDirectly;
     if (!mayClaim || !claimWasRead || leaderHeard) {
         group.claimAfter_ = Time();
         return;
@@ -127,7 +133,7 @@
         return;
     }
     if (group.claimAfter_ == Time()) {
-        group.claimAfter_ = now + claimStep * claimRank(state, group, now);
+        group.claimAfter_ = now + (onDemand ? onDemandClaimStep : claimStep) * claimRank(state, group, now);
     }
     if (now >= group.claimAfter_) {
         group.claimAfter_ = Time();
@@ -135,8 +141,10 @@
     }
 }
 
-void startLeading(SessionGroup &group, const LeaderClaim &claim, Time sentAt, Time now, Effects &out)
+void startLeading(SessionServiceState &sessions, SessionGroup &group, const LeaderClaim &claim, Time sentAt, Time now, Effects &out)
 {
+    sessions.trackedGroups_.insert(group.id_);
+    group.leaderName_ = claim.leaderName_;
     LeaderState leader;
     leader.claim_ = claim;
     leader.validUntil_ = sentAt + claimDuration;
@@ -214,6 +222,7 @@
     if (changed) {
         group.storedClaim_ = claim;
         group.storedClaimChangedAt_ = now;
+        group.leaderName_ = claim.leaderName_;
     }
     if (claim.phase_ == ClaimPhase::Replacing) {
         revokeAuthority(group.authority_, claim.epoch_);
@@ -262,6 +271,9 @@
  */
 bool shouldReadClaims(const SessionServiceState &sessions, const SessionGroup &group, Time now)
 {
+    if (sessions.onDemand_) {
+        return false; // Delegates read the claims of groups that have no leader; see reviewTrackedGroups().
+    }
     const bool silent = group.lastLeaderHeartbeat_ == Time() || now - group.lastLeaderHeartbeat_ > leaderSilenceTimeout;
     if (!silent) {
         return false;
@@ -275,6 +287,17 @@
     return left < remainingAuthorityToRead && !(neverLed && now - sessions.startedAt_ < firstLeaderTimeout);
 }
 
+/**
+ * Whether this VM reads the group's claim because clients use the group and its leader does not answer. The claim names the leader, and gives authority while
+ * the leader is lost. Elsewhere in the fleet, nobody needs it.
+ */
+bool shouldReadOwnClaim(const SessionServiceState &sessions, const SessionGroup &group, Time now)
+{
+    const Time since = std::max(group.lastLeaderHeartbeat_, group.followedSince_);
+    const bool isSilent = isFollowed(sessions, group, now) && now - since > askedLeaderSilence;
+    return sessions.onDemand_ && isSilent && group.authority_.validUntil_ - now < remainingAuthorityToRead;
+}
+
 } // namespace
 
 void requestClaimWrite(LeaderState &leader)
@@ -292,6 +315,9 @@
         if (shouldReadClaims(*state.sessions_, group, now)) {
             requestClaims(state, now, out);
         }
+        if (shouldReadOwnClaim(*state.sessions_, group, now)) {
+            requestClaim(state, group, now, out);
+        }
         considerClaim(state, group, now, out);
         return;
     }
@@ -310,26 +336,43 @@
         renewAuthority(
             group.authority_, leader.claim_.epoch_, leader.claim_.primary_, leader.claim_.term_, std::min(now, leader.validUntil_ - authorityDuration));
     } else {
-        revokeAuthority(group.authority_, leader.claim_.epoch_);
+        revokePrimary(state, group, leader.claim_.epoch_, now);
     }
     reviewReplacement(state, group, now, out);
     renew(state, group, now, out);
 }
 
+void onClaimRead(ProxyState &state, const ServiceId &id, const std::vector<LeaderClaim> &claims, Time askedAt, Time now)
+{
+    SessionGroup *group = findGroup(state, id);
+    if (group == nullptr || group->leader_) {
+        return;
+    }
+    if (claims.empty()) {
+        group->storedClaim_ = LeaderClaim{.group_ = id};
+    } else {
+        recordStoredClaim(state, *group, claims.front(), askedAt, now);
+    }
+}
+
 void onClaimsRead(ProxyState &state, const std::vector<LeaderClaim> &claims, Time askedAt, Time now, Effects & /*out*/)
 {
     state.sessions_->schedule_.claimsRead_ = state.sessions_->schedule_.claimsRead_ || state.sessions_->schedule_.registered_;
     // A delegate passes what it reads about groups with silent leaders on to its zone at once.
     state.sessions_->heartbeatNow_ = state.sessions_->heartbeatNow_ || isDelegate(*state.sessions_);
+    std::map<ServiceId, const LeaderClaim *> byGroup;
+    for (const LeaderClaim &claim : claims) {
+        byGroup.emplace(claim.group_, &claim);
+    }
     for (auto &[id, group] : state.sessions_->groups_) {
         if (group.leader_) {
             continue;
         }
-        const auto found = std::ranges::find(claims, id, &LeaderClaim::group_);
-        if (found == claims.end()) {
+        const auto found = byGroup.find(id);
+        if (found == byGroup.end()) {
             group.storedClaim_ = LeaderClaim{.group_ = id};
         } else {
-            recordStoredClaim(state, group, *found, askedAt, now);
+            recordStoredClaim(state, group, *found->second, askedAt, now);
         }
     }
 }
@@ -352,7 +395,7 @@
     const LeaderClaim *storedClaim = claims != nullptr && !claims->empty() ? &claims->front() : nullptr;
     const bool mine = storedClaim != nullptr && isMine(state, *storedClaim) && storedClaim->generation_ == write.claim_.generation_;
     if (mine && (answer.result_ == StoreResult::Done || answer.result_ == StoreResult::Conflict)) {
-        startLeading(*group, *storedClaim, sentAt, now, out);
+        startLeading(*state.sessions_, *group, *storedClaim, sentAt, now, out);
         return;
     }
     if (storedClaim != nullptr) {
--- a/src/GroupLeadership.h
+++ b/src/GroupLeadership.h
@@ -19,6 +19,8 @@
 void reviewLeadership(ProxyState &state, SessionGroup &group, Time now, Effects &out);
 /** Processes the claims on groups as read from the store by a request made at \p askedAt. */
 void onClaimsRead(ProxyState &state, const std::vector<LeaderClaim> &claims, Time askedAt, Time now, Effects &out);
+/** Processes the claim on one group as read from the store by a request made at \p askedAt; \p claims is empty if there is none. */
+void onClaimRead(ProxyState &state, const ServiceId &group, const std::vector<LeaderClaim> &claims, Time askedAt, Time now);
 /** Processes the result of a claim write that was sent at \p sentAt. */
 void onClaimWritten(ProxyState &state, const WriteClaim &write, const StoreAnswered &answer, Time sentAt, Time now, Effects &out);
 /** Requests that the leader's claim, which has changed, is written to the store soon. */
--- a/src/HeartbeatPace.h
+++ b/src/HeartbeatPace.h
@@ -25,11 +25,32 @@
     bool eitherIsDelegate_ = false; ///< Both are in the same availability zone, and one of them is a delegate.
 };
 
+/** Pair of VMs in a fleet that exchanges the state of groups on demand, as known to one of them. */
+struct OnDemandPair
+{
+    VmId self_;
+    VmId peer_;
+    unsigned vmCount_ = 2; ///< Number of all known VMs.
+    unsigned zoneVmCount_ = 1; ///< Number of known VMs in the zone of the first.
+    unsigned delegateCount_ = 0;
+    bool eitherIsRelay_ = false; ///< Both are in the same availability zone, and one of them is a relay.
+    bool bothAreRelays_ = false;
+    bool bothAreDelegates_ = false;
+};
+/** How a pair of VMs exchanges heartbeats. */
+struct HeartbeatPace
+{
+    Duration interval_{};
+    bool close_ = false; ///< The two hear each other often enough to notice a network split by it.
+};
+
 /** Whether the fleet is so small that all pairs of VMs exchange full heartbeats at the shortest interval at little cost. */
 bool isFullMesh(unsigned vms);
 /**
  * Interval between heartbeats of the pair. Both VMs usually compute the same value; a receiver relies on the interval that the sender states in its heartbeat.
  */
 Duration heartbeatIntervalOf(const VmPair &pair);
+/** Pace of the pair; each VM sends about 20 heartbeats a second in all, regardless of the number of VMs and groups. */
+HeartbeatPace onDemandPaceOf(const OnDemandPair &pair);
 
 } // namespace Figward
--- a/src/HttpListener.cpp
+++ b/src/HttpListener.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/str_cat.h>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <utility>
 
 namespace Figward {
 
@@ -58,11 +59,13 @@
         response_.body() = response.body_;
         response_.prepare_payload();
         stream_.expires_after(idleLimit);
-        http::async_write(stream_, response_, [self = shared_from_this()](const boost::system::error_code &error, std::size_t /*size*/) {
+        auto onWritten = [self = shared_from_this(), held = response.untilWritten_](const boost::system::error_code &error, std::size_t /*size*/) mutable {
+            held.reset();
             if (!error && self->response_.keep_alive()) {
                 self->read();
             }
-        });
+        };
+        http::async_write(stream_, response_, std::move(onWritten));
     }
 
     boost::beast::tcp_stream stream_;
--- a/src/HttpListener.h
+++ b/src/HttpListener.h
@@ -17,6 +17,7 @@
 {
     unsigned status_ = 404;
     std::string body_; ///< JSON, or empty.
+    std::shared_ptr<const void> untilWritten_ = nullptr; ///< Released once the response has been written or its connection is lost.
 };
 
 /** A received request. */
--- a/src/LogEvents.cpp
+++ b/src/LogEvents.cpp
@@ -92,6 +92,7 @@
                  LogLevel::Warning,
                  "primary-lost-log",
                  "The primary answered with a lower log position than it had reached: it was started again without its log and is not used any more."},
+    LogEventInfo{LogNumber::MembersChanged, LogLevel::Info, "members-changed", "Many members were added, removed or changed at once."},
     LogEventInfo{LogNumber::RequestUnknown, LogLevel::Warning, "request-unknown", "A caller was told that the outcome of its request is unknown."},
     LogEventInfo{LogNumber::ConnectionOverdue, LogLevel::Warning, "connection-overdue", "An answer is overdue; its connection is closed and never reused."},
     LogEventInfo{LogNumber::StatementSlow, LogLevel::Info, "statement-slow", "A statement was answered late or after more than one attempt."},
--- a/src/LogEvents.h
+++ b/src/LogEvents.h
@@ -60,6 +60,7 @@
     AuthorityLost = 416,
     AuthorityRegained = 417,
     PrimaryLostLog = 418,
+    MembersChanged = 419,
     RequestUnknown = 501,
     ConnectionOverdue = 502,
     StatementSlow = 503,
--- a/src/MemberConnections.cpp
+++ b/src/MemberConnections.cpp
@@ -456,9 +456,14 @@
 
 void reviewMemberConnections(ProxyState &state, Time now, Effects &out)
 {
-    for (auto &[id, member] : state.sessions_->members_) {
-        if (state.sessions_->configuration_) {
-            closeSurplus(state, member, now, out);
+    std::set<MemberId> connected;
+    for (const auto &[id, connection] : state.sessions_->connections_) {
+        connected.insert(connection.member_);
+    }
+    for (const MemberId &id : connected) {
+        MemberState *member = findMember(state, id);
+        if (member != nullptr && state.sessions_->configuration_) {
+            closeSurplus(state, *member, now, out);
         }
     }
     std::vector<ConnectionId> timedOut;
--- a/src/MemberDirectoryUpdate.cpp
+++ b/src/MemberDirectoryUpdate.cpp
@@ -2,10 +2,13 @@
 
 #include "MemberConnections.h"
 #include "ProxyState.h"
+#include "SessionHeartbeats.h"
 #include "SessionLookup.h"
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <iterator>
+#include <utility>
 #include <xxhash.h>
 
 namespace Figward {
@@ -17,6 +20,8 @@
  * returns, and must not cause a removal.
  */
 constexpr Duration removalDelay = std::chrono::milliseconds(2600);
+/** Changes of one update that are logged one by one; a fleet that starts would otherwise write a line for each pair of a VM and a member. */
+constexpr std::ptrdiff_t maxLoggedMembers = 12;
 
 void logMember(const DirectoryEntry &entry, std::string_view what, std::uint64_t revision, Effects &out)
 {
@@ -101,6 +106,22 @@
     group.members_.insert(entry.id_);
 }
 
+/** Adds the effects of an update; the log entries of many changes at once become a single one. */
+void logChanges(const SessionServiceState &sessions, Effects changes, std::uint64_t revision, Effects &out)
+{
+    const auto isLog = [](const Effect &effect) { return std::holds_alternative<WriteLog>(effect); };
+    const auto lines = std::ranges::count_if(changes, isLog);
+    if (lines > maxLoggedMembers) {
+        std::erase_if(changes, isLog);
+        out.emplace_back(WriteLog{LogNumber::MembersChanged,
+                                  {{"changes", absl::StrCat(lines)},
+                                   {"members", absl::StrCat(sessions.members_.size())},
+                                   {"groups", absl::StrCat(sessions.groups_.size())},
+                                   {"revision", absl::StrCat(revision)}}});
+    }
+    std::ranges::move(changes, std::back_inserter(out));
+}
+
 /** Fingerprint of the directory: equal in all processes for the same entries in any order, and never zero. */
 std::uint64_t fingerprint(const MemberDirectory &directory)
 {
@@ -150,13 +171,22 @@
     logUnusable(directory, sessions.unusableEntries_, out);
     sessions.unusableEntries_ = directory.unusable_;
     std::set<MemberId> present;
+    Effects changes;
     for (const DirectoryEntry &entry : directory.entries_) {
         present.insert(entry.id_);
-        update(state, entry, directory.revision_, now, out);
+        update(state, entry, directory.revision_, now, changes);
+    }
+    logChanges(sessions, std::move(changes), directory.revision_, out);
+    // Heartbeats depend on the number of groups, so the first ones after this must know it.
+    sessions.delegatesReviewAt_ = Time();
+    reviewDelegates(sessions, now);
+    if (sessions.onDemand_) {
+        sessions.heartbeatNow_ = true; // Close VMs read the list here: if all of a zone read it from its relays, it would take them many seconds.
     }
     for (auto &[id, member] : sessions.members_) {
         if (!present.contains(id) && !member.missingSince_) {
             member.missingSince_ = now;
+            sessions.missingMembers_.insert(id);
         }
     }
 }
@@ -164,11 +194,14 @@
 void removeMissingMembers(ProxyState &state, Time now, Effects &out)
 {
     std::vector<MemberId> gone;
-    for (const auto &[id, member] : state.sessions_->members_) {
-        if (member.missingSince_ && now - *member.missingSince_ > removalDelay) {
+    std::erase_if(state.sessions_->missingMembers_, [&](const MemberId &id) {
+        const MemberState *member = findMember(state, id);
+        const bool isGone = member != nullptr && member->missingSince_ && now - *member->missingSince_ > removalDelay;
+        if (isGone) {
             gone.push_back(id);
         }
-    }
+        return isGone || member == nullptr || !member->missingSince_;
+    });
     for (const MemberId &id : gone) {
         remove(state, id, state.sessions_->directoryRevision_, out);
     }
--- a/src/PrimaryReplacement.cpp
+++ b/src/PrimaryReplacement.cpp
@@ -3,6 +3,7 @@
 #include "CutOff.h"
 #include "GroupLeadership.h"
 #include "MemberConnections.h"
+#include "PlannedRevocation.h"
 #include "ProxyState.h"
 #include "SessionHeartbeats.h"
 #include "SessionLookup.h"
@@ -157,7 +158,7 @@
     return refused ? "the primary refuses connections" : "no VM hears the primary";
 }
 
-void revoke(SessionGroup &group, std::string_view why, bool planned, Time now, Effects &out)
+void revoke(ProxyState &state, SessionGroup &group, std::string_view why, bool planned, Time now, Effects &out)
 {
     LeaderState &leader = *group.leader_;
     leader.claim_.epoch_ = std::max(leader.claim_.epoch_, group.authority_.epoch_) + 1;
@@ -167,7 +168,7 @@
     leader.promotionIssued_ = false;
     leader.replacementSince_ = now;
     enterStep(leader, ReplacementStep::Revoking, now);
-    revokeAuthority(group.authority_, leader.claim_.epoch_);
+    revokePrimary(state, group, leader.claim_.epoch_, now);
     requestClaimWrite(leader);
     logStep(group, LogNumber::PrimaryRevoked, why, now, out);
 }
@@ -192,10 +193,14 @@
 void reviewRevoking(ProxyState &state, SessionGroup &group, Time now, Effects &out)
 {
     LeaderState &leader = *group.leader_;
+    if (group.deferredRevocation_) {
+        return; // Statements of this VM are under way at the primary.
+    }
     if (!leader.revokeStored_) {
         return; // A VM that does not receive this VM's heartbeats could still renew its authority from the store.
     }
-    const bool expired = now - *leader.revokeStored_ > authorityDuration + authorityMargin;
+    const bool neverUsed = leader.claim_.generation_ == 1 && leader.claim_.primary_ == MemberId();
+    const bool expired = neverUsed || now - *leader.revokeStored_ > authorityDuration + authorityMargin;
     const bool settling = leader.promotionIssued_ && now - leader.leadSince_ < promotionSettleTime;
     if (settling) {
         return; // A promotion that a previous leader requested may still take effect.
@@ -205,7 +210,7 @@
     if (!expired && !(listed && allConfirmed(state, group))) {
         return;
     }
-    logStep(group, LogNumber::RevocationComplete, expired ? "authority has run out" : "all VMs confirmed", now, out);
+    logStep(group, LogNumber::RevocationComplete, neverUsed ? "no primary was used before" : expired ? "authority has run out" : "all VMs confirmed", now, out);
     beginSurvey(leader, now);
 }
 
@@ -359,33 +364,19 @@
     }
 }
 
-/** Whether another VM knows a higher epoch than the leader: a previous leader's revocation was never recorded in the store. */
-bool isBehind(const ProxyState &state, const SessionGroup &group)
-{
-    return std::ranges::any_of(state.sessions_->peers_, [&](const auto &entry) {
-        const auto beat = entry.second.groups_.find(group.id_);
-        return beat != entry.second.groups_.end() && beat->second.epoch_ > group.leader_->claim_.epoch_;
-    });
-}
-
 } // namespace
 
 std::optional<Duration> timeSincePrimaryHeard(ProxyState &state, const SessionGroup &group, Time now)
 {
     const LeaderState &leader = *group.leader_;
-    std::optional<Duration> shortest;
-    const auto consider = [&](Duration age) { shortest = shortest ? std::min(*shortest, age) : age; };
-    if (const MemberState *primary = findMember(state, leader.claim_.primary_); primary != nullptr && primary->lastAnsweredAt_) {
-        consider(now - *primary->lastAnsweredAt_);
+    std::optional<Time> heardAt;
+    if (const MemberState *primary = findMember(state, leader.claim_.primary_); primary != nullptr) {
+        heardAt = primary->lastAnsweredAt_;
     }
-    for (const auto &[name, peer] : state.sessions_->peers_) {
-        const auto beat = peer.groups_.find(group.id_);
-        const bool reportsPrimary = wasHeardRecently(peer, now) && beat != peer.groups_.end() && beat->second.epoch_ == leader.claim_.epoch_;
-        if (reportsPrimary && beat->second.primaryAnswerAge_) {
-            consider(*beat->second.primaryAnswerAge_ + (now - peer.localSendTime_));
-        }
+    if (group.primaryHeardEpoch_ == leader.claim_.epoch_ && group.primaryHeardAt_ != Time()) {
+        heardAt = std::max(heardAt.value_or(group.primaryHeardAt_), group.primaryHeardAt_);
     }
-    return shortest;
+    return heardAt ? std::optional(now - *heardAt) : std::nullopt;
 }
 
 void resumeReplacement(SessionGroup &group, Time now)
@@ -406,11 +397,12 @@
     }
     switch (leader.step_) {
     case ReplacementStep::None:
-        if (isBehind(state, group)) {
-            revoke(group, "another VM knows a later epoch", false, now, out);
+        // A previous leader's revocation that was never recorded in the store, or a VM that found the primary to have lost its log.
+        if (group.highestEpochHeard_ > leader.claim_.epoch_) {
+            revoke(state, group, "another VM knows a later epoch", false, now, out);
         } else if (const std::optional<std::string_view> reason = reasonToReplace(state, group, now)) {
             const MemberState *primary = findMember(state, leader.claim_.primary_);
-            revoke(group, *reason, primary != nullptr && isUnknownOrLeaving(primary), now, out);
+            revoke(state, group, *reason, primary != nullptr && isUnknownOrLeaving(primary), now, out);
         }
         if (leader.step_ != ReplacementStep::None) {
             state.sessions_->heartbeatNow_ = true;
--- a/src/SessionEvents.h
+++ b/src/SessionEvents.h
@@ -55,6 +55,8 @@
     Duration claimRemaining_{}; ///< Remaining time for which the leader relies on its claim.
     std::uint64_t renewals_ = 0; ///< Number of the renewal of the claim from which claimRemaining_ is counted.
     std::uint64_t resigned_ = 0; ///< Highest generation whose leader is known to have resigned, as stated by that leader; zero: none.
+    bool asksLeader_ = false; ///< The sender uses the group, takes the receiver for its leader and asks for authority.
+    std::string leaderName_; ///< Name of the VM that the sender takes for the leader; sent to VMs that asked the sender although it does not lead.
 };
 
 /** Heartbeat that VMs send each other several times a second, by datagram: it may be lost, delayed or duplicated. */
@@ -122,10 +124,12 @@
 /** Reads the registrations of all VMs; answered with a vector of EntryVm. */
 struct ReadVms
 {
+    bool mayBeStale_ = false; ///< The answer may lack the changes of the last seconds; such a read costs the store little.
 };
-/** Reads the claims on all groups; answered with a vector of LeaderClaim. */
+/** Reads the claims on all groups, or the one on group_; answered with a vector of LeaderClaim. */
 struct ReadClaims
 {
+    std::optional<ServiceId> group_;
 };
 /** Creates the VM's registration or replaces it unconditionally. */
 struct RegisterVm
--- a/src/SessionHeartbeats.cpp
+++ b/src/SessionHeartbeats.cpp
@@ -2,9 +2,12 @@
 
 #include "ConfigurationReads.h"
 #include "Delegates.h"
+#include "GroupInterest.h"
 #include "GroupLeadership.h"
+#include "PlannedRevocation.h"
 #include "PrimaryReplacement.h"
 #include "ProxyState.h"
+#include "Rendezvous.h"
 #include "SessionLookup.h"
 #include "StoreReads.h"
 
@@ -27,9 +30,14 @@
 constexpr std::size_t maxLoggedVms = 12;
 /** Interval between choices of the delegates; a lost delegate is replaced after about this time. */
 constexpr Duration delegatesInterval = std::chrono::milliseconds(500);
+/** Number of groups kept of a peer beyond those that its last heartbeat names; with on-demand exchange a VM names ever new ones. */
+constexpr std::size_t maxGroupsKept = 64;
+/** A VM that is asked for an answer in vain for this long is no candidate for a delegate. */
+constexpr Duration candidateAnswerTimeout = std::chrono::milliseconds(1500);
 /** VMs that are not listed in the store and have been silent for longer are sent no heartbeats. */
 constexpr Duration forgottenAfter = std::chrono::seconds(20);
 
+/** State of \p group as sent to other VMs. */
 GroupHeartbeat describe(ProxyState &state, const SessionGroup &group, Time now)
 {
     GroupHeartbeat beat;
@@ -124,12 +132,19 @@
 {
     for (auto &[id, beat] : peer.groups_) {
         beat.leads_ = false;
+        beat.asksLeader_ = false;
         beat.primaryAnswerAge_.reset();
     }
     for (const GroupHeartbeat &beat : heartbeat.groups_) {
         peer.groups_[beat.group_] = beat;
     }
     peer.leads_ = std::ranges::any_of(heartbeat.groups_, &GroupHeartbeat::leads_);
+    if (peer.groups_.size() > maxGroupsKept) {
+        const auto isNamed = [&](const auto &entry) {
+            return std::ranges::find(heartbeat.groups_, entry.first, &GroupHeartbeat::group_) != heartbeat.groups_.end();
+        };
+        std::erase_if(peer.groups_, [&](const auto &entry) { return !isNamed(entry); });
+    }
 }
 
 /** Schedules a heartbeat to \p peer at the end of the current event. */
@@ -156,6 +171,7 @@
     peer.clockOffset_ = unknown ? now - heartbeat.sent_ : std::min(peer.clockOffset_, now - heartbeat.sent_);
     peer.vm_ = EntryVm{heartbeat.name_, heartbeat.from_, heartbeat.address_, heartbeat.zone_};
     peer.lastReceivedAt_ = now;
+    peer.unansweredSince_.reset();
     peer.remoteSendTime_ = heartbeat.sent_;
     peer.localSendTime_ = sendingTime(*state.sessions_, heartbeat, now);
     peer.configuration_ = heartbeat.configuration_;
@@ -169,19 +185,31 @@
     }
 }
 
-void applyLeaderStatement(SessionGroup &group, const VmHeartbeat &heartbeat, const GroupHeartbeat &beat, bool echoed, Time now)
+void applyLeaderStatement(ProxyState &state, SessionGroup &group, const VmHeartbeat &heartbeat, const GroupHeartbeat &beat, bool echoed, Time now)
 {
     group.lastLeaderHeartbeat_ = now;
     group.claimEnds_ = now + beat.claimRemaining_;
     group.leaderGeneration_ = beat.generation_;
     group.leaderRenewals_ = beat.renewals_;
     if (beat.phase_ == ClaimPhase::Replacing) {
-        revokeAuthority(group.authority_, beat.epoch_);
+        revokePrimary(state, group, beat.epoch_, now);
     } else if (echoed) {
         renewAuthority(group.authority_, beat.epoch_, beat.primary_, beat.term_, heartbeat.echo_);
     }
 }
 
+/** Records what another VM reports of the group's epoch, and when the primary last answered that VM. */
+void recordReport(const SessionServiceState &sessions, SessionGroup &group, const VmHeartbeat &heartbeat, const GroupHeartbeat &beat, Time now)
+{
+    group.highestEpochHeard_ = std::max(group.highestEpochHeard_, beat.epoch_);
+    if (!beat.primaryAnswerAge_ || beat.epoch_ < group.primaryHeardEpoch_) {
+        return;
+    }
+    const Time answeredAt = sendingTime(sessions, heartbeat, now) - *beat.primaryAnswerAge_;
+    group.primaryHeardAt_ = beat.epoch_ == group.primaryHeardEpoch_ ? std::max(group.primaryHeardAt_, answeredAt) : answeredAt;
+    group.primaryHeardEpoch_ = beat.epoch_;
+}
+
 void applyGroup(ProxyState &state, const VmHeartbeat &heartbeat, const GroupHeartbeat &beat, Time now)
 {
     SessionGroup *group = findGroup(state, beat.group_);
@@ -195,8 +223,10 @@
     }
     const bool echoed = heartbeat.echoOf_ == state.sessions_->identity_.vm_.incarnation_;
     const std::uint64_t epochBefore = group->authority_.epoch_;
+    recordReport(*state.sessions_, *group, heartbeat, beat, now);
+    recordLeaderName(state, *group, beat, heartbeat.name_, now);
     if (beat.leads_) {
-        applyLeaderStatement(*group, heartbeat, beat, echoed, now);
+        applyLeaderStatement(state, *group, heartbeat, beat, echoed, now);
     }
     // A VM that is not listed in the store, or that has not read the claims since, might accept authority that a revoking leader does not know of.
     const StoreSchedule &schedule = state.sessions_->schedule_;
@@ -219,35 +249,142 @@
 struct HeartbeatRound
 {
     VmHeartbeat heartbeat_;
-    std::vector<GroupHeartbeat> groups_;
+    std::vector<GroupHeartbeat> groups_; ///< With on-demand exchange, only those for which this VM asks, and resigned ones; otherwise all.
+    std::map<ServiceId, std::string> leaders_; ///< With on-demand exchange, the VM to ask for each group that this VM follows.
     bool leadsAny_ = false; ///< This VM leads at least one group.
-    bool toShortIntervalPeers_ = false; ///< Send to all peers that use the short interval.
+    bool toClosePeers_ = false; ///< Send to all peers that use a short interval.
 };
 
-void sendIfDue(const SessionServiceState &sessions, PeerVm &peer, HeartbeatRound &round, Time now, Effects &out)
+/**
+ * Adds the groups that concern \p peer in a fleet that exchanges groups on demand: those about which it asked this VM, or of which it stated to be the leader,
+ * and with \p asks, those for which this VM asks it.
+ */
+void addGroupsOnDemand(ProxyState &state, const PeerVm &peer, const HeartbeatRound &round, bool asks, VmHeartbeat &heartbeat, Time now)
 {
-    if (!receivesHeartbeats(peer, now)) {
-        return;
+    heartbeat.groups_.clear();
+    for (const GroupHeartbeat &beat : round.groups_) {
+        const auto leader = round.leaders_.find(beat.group_);
+        const bool asksPeer = leader != round.leaders_.end() && leader->second == peer.vm_.name_;
+        if (asksPeer || (beat.resigned_ != 0 && peer.close_)) {
+            heartbeat.groups_.push_back(beat);
+            heartbeat.groups_.back().asksLeader_ = asks && asksPeer;
+        }
     }
+    for (const auto &[id, beat] : peer.groups_) {
+        const SessionGroup *group = findGroup(state, id);
+        const bool isAdded = std::ranges::find(heartbeat.groups_, id, &GroupHeartbeat::group_) != heartbeat.groups_.end();
+        if (group == nullptr || isAdded || !(beat.asksLeader_ || beat.leads_)) {
+            continue;
+        }
+        heartbeat.groups_.push_back(describe(state, *group, now));
+        if (!heartbeat.groups_.back().leads_ && beat.asksLeader_) {
+            heartbeat.groups_.back().leaderName_ = group->leaderName_.empty() && group->storedClaim_ ? group->storedClaim_->leaderName_ : group->leaderName_;
+        }
+    }
+}
+
+HeartbeatPace paceOf(const SessionServiceState &sessions, const PeerVm &peer, const HeartbeatRound &round)
+{
     const auto vms = static_cast<unsigned>(sessions.peers_.size() + 1);
-    VmPair pair{sessions.identity_.vm_.incarnation_, peer.vm_.incarnation_, vms};
-    pair.eitherLeads_ = round.leadsAny_ || peer.leads_;
-    pair.eitherIsDelegate_ = peer.vm_.zone_ == sessions.identity_.vm_.zone_ && (isDelegate(sessions) || sessions.delegates_.contains(peer.vm_.name_));
-    VmHeartbeat &heartbeat = round.heartbeat_;
-    heartbeat.interval_ = heartbeatIntervalOf(pair);
-    const bool usesShortInterval = heartbeat.interval_ == heartbeatInterval;
-    const bool due = !peer.lastSentAt_ || now - *peer.lastSentAt_ >= heartbeat.interval_;
-    if (!due && !peer.sendNow_ && !(round.toShortIntervalPeers_ && usesShortInterval)) {
+    const EntryVm &self = sessions.identity_.vm_;
+    const bool sameZone = peer.vm_.zone_ == self.zone_;
+    if (!sessions.onDemand_) {
+        VmPair pair{self.incarnation_, peer.vm_.incarnation_, vms};
+        pair.eitherLeads_ = round.leadsAny_ || peer.leads_;
+        pair.eitherIsDelegate_ = sameZone && (isDelegate(sessions) || sessions.delegates_.contains(peer.vm_.name_));
+        const Duration interval = heartbeatIntervalOf(pair);
+        return {interval, interval == heartbeatInterval};
+    }
+    const bool selfRelays = sessions.relays_.contains(self.name_);
+    const bool peerRelays = sessions.relays_.contains(peer.vm_.name_);
+    // A VM that was not heard yet is known by the incarnation that the store lists.
+    const VmId peerId = peer.lastReceivedAt_ ? peer.vm_.incarnation_ : peer.listed_;
+    OnDemandPair pair{self.incarnation_, peerId, vms, sessions.zoneVms_, static_cast<unsigned>(sessions.delegates_.size())};
+    pair.eitherIsRelay_ = sameZone && (selfRelays || peerRelays);
+    pair.bothAreRelays_ = selfRelays && peerRelays;
+    pair.bothAreDelegates_ = isDelegate(sessions) && sessions.delegates_.contains(peer.vm_.name_);
+    return onDemandPaceOf(pair);
+}
+
+/** Spreads the first heartbeats to VMs that are not close over the interval: a fleet that starts would otherwise send as many at once as it has pairs. */
+void spreadFirstSending(const SessionServiceState &sessions, PeerVm &peer, const HeartbeatPace &pace, Time now)
+{
+    if (sessions.onDemand_ && !peer.lastSentAt_ && !pace.close_) {
+        const std::uint64_t phase = rendezvousWeight(GroupId(peer.vm_.name_), sessions.identity_.vm_.incarnation_);
+        peer.lastSentAt_ = now - Duration(static_cast<std::int64_t>(phase % static_cast<std::uint64_t>(pace.interval_.count())));
+    }
+}
+
+void sendIfDue(ProxyState &state, PeerVm &peer, HeartbeatRound &round, Time now, Effects &out)
+{
+    const SessionServiceState &sessions = *state.sessions_;
+    const bool requested = peer.sendNow_ || peer.askNow_;
+    const bool mayBeDue = requested || round.toClosePeers_ || now >= peer.nextSendAt_;
+    if (!mayBeDue || !receivesHeartbeats(peer, now)) {
         return;
     }
+    const HeartbeatPace pace = paceOf(sessions, peer, round);
+    peer.close_ = pace.close_;
+    spreadFirstSending(sessions, peer, pace, now);
+    const bool due = !peer.lastSentAt_ || now - *peer.lastSentAt_ >= pace.interval_;
+    if (!due && !requested && !(round.toClosePeers_ && pace.close_)) {
+        peer.nextSendAt_ = sessions.onDemand_ ? *peer.lastSentAt_ + pace.interval_ : Time();
+        return;
+    }
+    const bool asks = peer.askNow_;
     peer.lastSentAt_ = now;
+    peer.nextSendAt_ = sessions.onDemand_ ? now + pace.interval_ : Time();
     peer.sendNow_ = false;
+    peer.askNow_ = false;
+    VmHeartbeat &heartbeat = round.heartbeat_;
+    heartbeat.interval_ = pace.interval_;
     heartbeat.echo_ = peer.remoteSendTime_;
     heartbeat.echoOf_ = peer.vm_.incarnation_;
-    addGroups(heartbeat, peer, round.groups_, isFullMesh(vms));
+    heartbeat.replyAtOnce_ = sessions.onDemand_ && (asks || (due && !peer.lastReceivedAt_));
+    if (heartbeat.replyAtOnce_ && !peer.unansweredSince_) {
+        peer.unansweredSince_ = now;
+    }
+    if (sessions.onDemand_) {
+        peer.lastAskedAt_ = asks ? now : peer.lastAskedAt_;
+        addGroupsOnDemand(state, peer, round, asks, heartbeat, now);
+    } else {
+        addGroups(heartbeat, peer, round.groups_, isFullMesh(static_cast<unsigned>(sessions.peers_.size() + 1)));
+    }
     out.emplace_back(SessionEffect(SendHeartbeat{peer.vm_.address_, heartbeat}));
 }
 
+/** Whether \p peer may be chosen as a delegate. Most VMs of a large fleet are heard only once in minutes, and new ones not at all; those count as listed. */
+bool isCandidate(const SessionServiceState &sessions, const PeerVm &peer, Time now)
+{
+    if (peer.leaving_ || peer.vm_.name_.empty()) {
+        return false;
+    }
+    if (!sessions.onDemand_) {
+        return wasHeardRecently(peer, now);
+    }
+    const bool isSilent = peer.unansweredSince_ && now - *peer.unansweredSince_ > candidateAnswerTimeout;
+    return !isSilent && (peer.lastReceivedAt_ ? wasHeardRecently(peer, now) : peer.registered_);
+}
+
+HeartbeatRound makeRound(ProxyState &state, bool toClosePeers, Time now)
+{
+    const SessionServiceState &sessions = *state.sessions_;
+    HeartbeatRound round;
+    forEachReviewedGroup(sessions, [&](const SessionGroup &group) {
+        const bool isAsked = sessions.onDemand_ && !group.leader_ && isFollowed(sessions, group, now);
+        if (isAsked) {
+            round.leaders_.emplace(group.id_, leaderToAsk(state, group, now));
+        }
+        if (!sessions.onDemand_ || isAsked || group.resigned_ != 0) {
+            round.groups_.push_back(describe(state, group, now));
+        }
+    });
+    round.leadsAny_ = std::ranges::any_of(round.groups_, &GroupHeartbeat::leads_);
+    round.toClosePeers_ = toClosePeers;
+    round.heartbeat_ = makeHeartbeat(sessions, now);
+    return round;
+}
+
 } // namespace
 
 Time sendingTime(const SessionServiceState &sessions, const VmHeartbeat &heartbeat, Time now)
@@ -269,18 +406,29 @@
     }
     sessions.delegatesReviewAt_ = now + delegatesInterval;
     sessions.delegates_.clear();
-    if (isFullMesh(static_cast<unsigned>(sessions.peers_.size() + 1))) {
-        return;
-    }
-    std::vector<DelegateCandidate> candidates{{sessions.identity_.vm_.name_, sessions.identity_.vm_.zone_}};
-    std::set<ZoneId> zones{sessions.identity_.vm_.zone_};
-    for (const auto &[name, peer] : sessions.peers_) {
-        if (wasHeardRecently(peer, now) && !peer.leaving_) {
+    sessions.relays_.clear();
+    const EntryVm &self = sessions.identity_.vm_;
+    std::vector<DelegateCandidate> candidates{{self.name_, self.zone_}};
+    std::set<ZoneId> zones{self.zone_};
+    sessions.zoneVms_ = 1;
+    for (auto &[name, peer] : sessions.peers_) {
+        sessions.zoneVms_ += peer.vm_.zone_ == self.zone_ ? 1 : 0;
+        peer.nextSendAt_ = Time(); // The roles of the pair may have changed.
+        if (isCandidate(sessions, peer, now)) {
             candidates.push_back({name, peer.vm_.zone_});
             zones.insert(peer.vm_.zone_);
         }
     }
-    sessions.delegates_ = chooseDelegates(candidates, leadersPerZone(sessions.groups_.size(), zones.size()));
+    const bool isSmallFleet = isFullMesh(static_cast<unsigned>(sessions.peers_.size() + 1));
+    const unsigned leaders = leadersPerZone(sessions.groups_.size(), zones.size());
+    sessions.onDemand_ = exchangesOnDemand(sessions.groups_.size(), isSmallFleet ? 0 : leaders * zones.size());
+    if (isSmallFleet && !sessions.onDemand_) {
+        return;
+    }
+    sessions.delegates_ = chooseDelegates(candidates, leaders);
+    if (sessions.onDemand_) {
+        sessions.relays_ = chooseRelays(candidates);
+    }
 }
 
 void logNewVms(SessionServiceState &sessions, Time now, Effects &out)
@@ -331,24 +479,18 @@
     if (!reviewAll && requesters.empty()) {
         return;
     }
-    HeartbeatRound round;
-    for (const auto &[id, group] : sessions.groups_) {
-        round.groups_.push_back(describe(state, group, now));
-    }
-    round.leadsAny_ = std::ranges::any_of(round.groups_, &GroupHeartbeat::leads_);
-    round.toShortIntervalPeers_ = toShortIntervalPeers;
-    round.heartbeat_ = makeHeartbeat(sessions, now);
+    HeartbeatRound round = makeRound(state, toShortIntervalPeers, now);
     if (reviewAll) {
         sessions.heartbeatsReviewAt_ = now + sendCheckInterval;
         for (auto &[name, peer] : sessions.peers_) {
-            sendIfDue(sessions, peer, round, now, out);
+            sendIfDue(state, peer, round, now, out);
         }
         return;
     }
     for (const std::string &name : requesters) {
         const auto peer = sessions.peers_.find(name);
         if (peer != sessions.peers_.end()) {
-            sendIfDue(sessions, peer->second, round, now, out);
+            sendIfDue(state, peer->second, round, now, out);
         }
     }
 }
--- a/src/SessionService.cpp
+++ b/src/SessionService.cpp
@@ -3,11 +3,13 @@
 #include "ConfigurationReads.h"
 #include "ConnectionSharing.h"
 #include "CutOff.h"
+#include "GroupInterest.h"
 #include "GroupLeadership.h"
 #include "MemberConnections.h"
 #include "MemberDirectoryUpdate.h"
 #include "OrganisationQuota.h"
 #include "Overloaded.h"
+#include "PlannedRevocation.h"
 #include "PrimaryReplacement.h"
 #include "ProxyState.h"
 #include "SessionAccess.h"
@@ -109,14 +111,15 @@
     }
 }
 
-/** Records since when the primary cannot be used. The time starts again with each epoch, which leaves a new primary time to become reachable. */
+/** Records since when the primary cannot be used. The time starts again with each epoch and primary, which leaves a new primary time to become reachable. */
 void recordPrimaryLost(const SessionServiceState &sessions, SessionGroup &group, Time now)
 {
     if (reachesPrimary(sessions, group, now)) {
         group.primaryLostAt_.reset();
-    } else if (!group.primaryLostAt_ || group.primaryLostEpoch_ != group.authority_.epoch_) {
+    } else if (!group.primaryLostAt_ || group.primaryLostEpoch_ != group.authority_.epoch_ || group.primaryLostMember_ != group.authority_.primary_) {
         group.primaryLostAt_ = now;
         group.primaryLostEpoch_ = group.authority_.epoch_;
+        group.primaryLostMember_ = group.authority_.primary_;
     }
 }
 
@@ -124,7 +127,10 @@
 void recordAuthority(SessionServiceState &sessions, SessionGroup &group, Time now, Effects &out)
 {
     const bool held = holdsAuthority(group.authority_, now);
-    if (held != group.heldAuthority_) {
+    const bool isExpected = sessions.onDemand_ && !group.leader_; // There, authority comes and goes with each use of the group.
+    if (held != group.heldAuthority_ && isExpected) {
+        group.heldAuthority_ = held;
+    } else if (held != group.heldAuthority_) {
         group.heldAuthority_ = held;
         out.emplace_back(WriteLog{held ? LogNumber::AuthorityRegained : LogNumber::AuthorityLost,
                                   {{"group", group.id_.value()},
@@ -160,16 +166,29 @@
     recordAuthority(*state.sessions_, group, now, out);
 }
 
+/** Reviews what depends on all known VMs or groups, less often than the rest: with hundreds of them, that is most of the work of a VM at rest. */
+void reviewFleet(ProxyState &state, Time now, Effects &out)
+{
+    SessionServiceState &sessions = *state.sessions_;
+    if (sessions.onDemand_ && now < sessions.delegatesReviewAt_) {
+        return;
+    }
+    sessions.entryVms_ = countEntryVms(sessions, now);
+    const bool isDue = now >= sessions.delegatesReviewAt_;
+    reviewDelegates(sessions, now);
+    if (isDue) {
+        reviewTrackedGroups(state, now, out);
+    }
+}
+
 void review(ProxyState &state, Time now, Effects &out)
 {
-    state.sessions_->entryVms_ = countEntryVms(*state.sessions_, now);
-    reviewDelegates(*state.sessions_, now);
+    reviewFleet(state, now, out);
     logNewVms(*state.sessions_, now, out);
     reviewStoreReads(state, now, out);
     removeMissingMembers(state, now, out);
-    for (auto &[id, group] : state.sessions_->groups_) {
-        reviewGroup(state, group, now, out);
-    }
+    forEachReviewedGroup(*state.sessions_, [&](SessionGroup &group) { reviewGroup(state, group, now, out); });
+    askLeaders(state, now);
     reviewMemberConnections(state, now, out);
     reviewAdmission(state, now, out);
     reviewWaitingSessions(state, now, out);
@@ -217,18 +236,17 @@
 
 void runPendingSessionWork(ProxyState &state, Time now, Effects &out)
 {
-    for (auto &[id, group] : state.sessions_->groups_) {
+    forEachReviewedGroup(*state.sessions_, [&](SessionGroup &group) {
         const bool wasWaiting = group.queue_.waitingSince_.has_value();
         if ((wasWaiting || !group.waiting_.empty()) && state.sessions_->configuration_) {
             dispatchStatements(state, group, now, out);
         }
-    }
-    for (auto &[id, group] : state.sessions_->groups_) {
+        reviewDeferredRevocation(state, group, now);
         // Writes stall during a replacement, so each step is taken as soon as its condition holds and not only at the next review.
         if (group.leader_ && group.leader_->step_ != ReplacementStep::None) {
             reviewReplacement(state, group, now, out);
         }
-    }
+    });
     sendHeartbeats(state, now, out);
 }
 
--- a/src/SessionState.h
+++ b/src/SessionState.h
@@ -162,14 +162,23 @@
     Time leadSince_;
 };
 
+/** Revocation of a leaving primary that takes effect once the statements under way there have ended. */
+struct DeferredRevocation
+{
+    std::uint64_t epoch_ = 0;
+    Time since_;
+};
+
 /** One group of databases: a primary and its replicas. */
 struct SessionGroup
 {
     ServiceId id_;
     std::set<MemberId> members_;
     PrimaryAuthority authority_;
+    std::optional<DeferredRevocation> deferredRevocation_; ///< While present, no statement is started at the primary.
     std::optional<Time> primaryLostAt_; ///< Time since which this VM may not use, or does not reach, the primary of the current epoch.
     std::uint64_t primaryLostEpoch_ = 0;
+    MemberId primaryLostMember_; ///< Primary, possibly none, to which primaryLostAt_ applies.
     PositionSamples samples_;
     PrimaryProgress progress_;
     std::optional<LeaderClaim> storedClaim_; ///< Claim as last read from the store.
@@ -178,6 +187,14 @@
     std::uint64_t leaderGeneration_ = 0;
     std::uint64_t leaderRenewals_ = 0;
     Time lastLeaderHeartbeat_;
+    std::string leaderName_; ///< VM that leads the group as far as this one knows; empty if unknown.
+    Time usedAt_; ///< Time at which a client's statement last used the group at this VM.
+    Time followedSince_; ///< Time since which this VM has used the group without a long pause; see GroupInterest.h.
+    std::uint64_t highestEpochHeard_ = 0; ///< Highest epoch that any other VM has stated.
+    std::uint64_t primaryHeardEpoch_ = 0; ///< Epoch to which primaryHeardAt_ applies.
+    Time primaryHeardAt_; ///< Time at which the primary last answered another VM, as far as such VMs reported it.
+    std::optional<CallId> claimRead_; ///< Pending read of this group's claim alone.
+    Time claimReadAfter_; ///< Earliest time of the next one.
     std::optional<LeaderState> leader_; ///< Present while this VM is the leader.
     std::uint64_t resigned_ = 0; ///< Highest generation whose leader has resigned; its claim has ended even if the store still contains it.
     Time claimAfter_; ///< Earliest time at which this VM may claim leadership.
@@ -210,6 +227,11 @@
     bool leaving_ = false;
     std::optional<Time> lastSentAt_; ///< Time of the last heartbeat sent to it.
     bool sendNow_ = false; ///< It has requested a heartbeat.
+    bool close_ = false; ///< The pair exchanges heartbeats often enough to notice a network split by it.
+    Time nextSendAt_; ///< Time before which no heartbeat to it is due, unless one is requested.
+    bool askNow_ = false; ///< It is to be asked for authority at once.
+    Time lastAskedAt_; ///< Time when it was last asked for authority.
+    std::optional<Time> unansweredSince_; ///< Time of the first request for an answer since its last heartbeat.
     std::map<ServiceId, GroupHeartbeat> groups_;
 };
 
@@ -241,10 +263,12 @@
     Time claimsAt_;
     Time registerAt_;
     bool registered_ = false;
+    bool vmsListed_ = false; ///< The list of VMs was read at least once.
     bool claimsRead_ = false; ///< Claims were read since this VM was registered.
     std::optional<CallId> members_;
     ConfigurationAttempts configurationAttempts_; ///< Attempts of reads and checks; the watch is not included.
     Duration transferTime_{}; ///< Time that the last complete configuration took to arrive.
+    Duration directoryTransferTime_{}; ///< Time that the last list of members took to arrive.
     std::optional<CallId> watch_;
     std::optional<CallId> vms_;
     std::optional<CallId> claims_;
@@ -335,6 +359,7 @@
     std::set<SessionKey> unaccepted_; ///< Keys of the sessions in sessions_ that are not accepted yet.
     std::map<ConnectionId, MemberConnection> connections_;
     std::map<MemberId, MemberState> members_;
+    std::set<MemberId> missingMembers_; ///< Members with missingSince_ set.
     std::map<ServiceId, SessionGroup> groups_;
     std::map<std::string, PeerVm> peers_; ///< Other VMs by name.
     std::map<CallId, PendingStoreCall> calls_;
@@ -344,6 +369,10 @@
     bool heartbeatNow_ = false;
     std::map<std::string, DelegateRole> delegates_; ///< Delegates of all zones that have many VMs, by name, possibly including this VM; see Delegates.h.
     Time delegatesReviewAt_; ///< Earliest time at which delegates are chosen again.
+    std::set<std::string> relays_; ///< Relays of all zones, possibly including this VM; see Delegates.h.
+    bool onDemand_ = false; ///< VMs ask leaders for authority only while they use a group; see GroupInterest.h.
+    unsigned zoneVms_ = 1; ///< Number of known VMs in this VM's zone.
+    std::set<ServiceId> trackedGroups_; ///< The groups that are reviewed, if onDemand_ is set: those that this VM uses, leads or may have to lead.
     std::vector<std::string> heartbeatRequesters_; ///< Names of VMs that have requested a heartbeat; see PeerVm::sendNow_.
     std::vector<std::string> newVms_; ///< Names of VMs that are new or restarted and not logged yet.
     Time newVmsLoggedAt_;
--- a/src/SessionStatements.cpp
+++ b/src/SessionStatements.cpp
@@ -1,5 +1,6 @@
 #include "SessionStatements.h"
 
+#include "GroupInterest.h"
 #include "MemberConnections.h"
 #include "OrganisationQuota.h"
 #include "ProxyState.h"
@@ -26,6 +27,14 @@
     return found == state.sessions_->configuration_->databases_.end() ? nullptr : &found->second;
 }
 
+/** Records that the session uses its group. */
+void useGroup(ProxyState &state, const ClientSession &session, Time now)
+{
+    if (SessionGroup *group = findGroup(state, session.route_.service_)) {
+        recordGroupUse(state, *group, now);
+    }
+}
+
 /** Runs a statement that needs a member. */
 void runStatement(ProxyState &state, ClientSession &session, ClientStatement statement, Time now, Effects &out)
 {
@@ -38,6 +47,7 @@
     if (isWrite(session, session.run_->statement_) && session.state_ != TransactionState::None) {
         session.wrote_ = true;
     }
+    useGroup(state, session, now);
     if (!session.pinned_) {
         session.run_->first_ = true;
         admitOperation(state, session, now, out);
@@ -276,6 +286,9 @@
     std::vector<SessionKey> unanswered;
     std::vector<SessionKey> idle;
     for (const auto &[key, session] : state.sessions_->sessions_) {
+        if (session.run_ || session.state_ == TransactionState::Open) {
+            useGroup(state, session, now);
+        }
         const bool isMovableRead = state.sessions_->identity_.policies_.movesUnansweredReads_ && session.run_ && session.run_->sent_
                                    && session.state_ == TransactionState::None && !changesDatabase(session, *session.run_);
         if (isMovableRead && now - session.run_->sentAt_ > readTimeout && !session.run_->moved_) {
--- a/src/SharedCheck.cpp
+++ b/src/SharedCheck.cpp
@@ -18,6 +18,15 @@
 constexpr Duration minRetryDelay = std::chrono::milliseconds(300);
 constexpr Duration maxRetryDelay = std::chrono::milliseconds(1200);
 
+/** Whether this VM hears a relay of its zone. */
+bool hearsRelay(const SessionServiceState &sessions, Time now)
+{
+    return std::ranges::any_of(sessions.relays_, [&](const std::string &name) {
+        const auto peer = sessions.peers_.find(name);
+        return peer != sessions.peers_.end() && peer->second.vm_.zone_ == sessions.identity_.vm_.zone_ && wasHeardRecently(peer->second, now);
+    });
+}
+
 Duration randomBelow(ProxyState &state, Duration limit)
 {
     return Duration(static_cast<std::int64_t>(state.random_() % static_cast<std::uint64_t>(limit.count())));
@@ -59,6 +68,9 @@
 
 bool reliesOnLeaderChecks(const SessionServiceState &sessions, Time now)
 {
+    if (sessions.onDemand_) {
+        return !sessions.relays_.contains(sessions.identity_.vm_.name_) && hearsRelay(sessions, now);
+    }
     const auto readsForOthers = [&](const auto &entry) { return entry.second.leads_ && wasHeardRecently(entry.second, now); };
     return !isFullMesh(static_cast<unsigned>(sessions.peers_.size() + 1)) && !leadsAnyGroup(sessions) && std::ranges::any_of(sessions.peers_, readsForOthers);
 }
--- a/src/StatementDispatch.cpp
+++ b/src/StatementDispatch.cpp
@@ -4,6 +4,7 @@
 #include "CutOff.h"
 #include "MemberConnections.h"
 #include "OrganisationQuota.h"
+#include "PlannedRevocation.h"
 #include "ProxyState.h"
 #include "SessionLookup.h"
 #include "StatementNeeds.h"
@@ -47,7 +48,7 @@
     const StatementRun &run = *session.run_;
     const bool primaryOnly = needsPrimary(session, run);
     const std::optional<LogPoint> position = requiredReadPosition(session, group, now);
-    const bool authority = holdsAuthority(group.authority_, now);
+    const bool authority = mayStartAtPrimary(group, now);
     const SessionPolicies &policies = state.sessions_->identity_.policies_;
     std::vector<PlacementCandidate> candidates;
     for (const MemberId &id : group.members_) {
@@ -98,7 +99,7 @@
 {
     StatementRun &run = *session.run_;
     SessionGroup &group = *findGroup(state, session.route_.service_);
-    const bool authority = holdsAuthority(group.authority_, connection.member_, now);
+    const bool authority = group.authority_.primary_ == connection.member_ && mayStartAtPrimary(group, now);
     connection.use_ = MemberConnectionUse::Statement;
     connection.session_ = session.key_;
     run.connection_ = connection.id_;
@@ -124,7 +125,7 @@
     const SessionServiceState &sessions = *state.sessions_;
     const bool noneReachable =
         std::ranges::none_of(candidates, [&](const PlacementCandidate &candidate) { return !candidate.primary_ || reachesPrimary(sessions, group, now); });
-    return noneReachable && sessions.identity_.policies_.refusesWhenCutOff_ && (sessions.cutOff_ || isPrimaryHeardElsewhere(sessions, group, now));
+    return noneReachable && sessions.identity_.policies_.refusesWhenCutOff_ && (sessions.cutOff_ || isPrimaryHeardElsewhere(group, now));
 }
 
 /** Forecast of the time until this VM may use a primary of the group; absent while it may use one, or if it has never been allowed to use one. */
--- a/src/StatementOutcome.cpp
+++ b/src/StatementOutcome.cpp
@@ -72,6 +72,7 @@
         group = &state.sessions_->groups_[session.route_.service_];
         group->id_ = session.route_.service_;
     }
+    state.sessions_->trackedGroups_.insert(group->id_);
     const auto before = [&](SessionKey key) {
         const ClientSession *other = findSession(state, key);
         return other != nullptr && std::pair(other->route_.priority_, other->run_->deadline_) <= std::pair(session.route_.priority_, session.run_->deadline_);
--- a/src/StoreReads.cpp
+++ b/src/StoreReads.cpp
@@ -1,12 +1,15 @@
 #include "StoreReads.h"
 
 #include "ConfigurationReads.h"
+#include "FirstReads.h"
 #include "GroupLeadership.h"
 #include "MemberDirectoryUpdate.h"
 #include "ProxyState.h"
 #include "SessionHeartbeats.h"
+#include "SessionLookup.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Figward {
 
@@ -15,6 +18,8 @@
 /** The store answers within about 4 ms, or up to about 400 ms when it is slow. */
 constexpr Duration callTimeout = std::chrono::milliseconds(1500);
 constexpr Duration peerTimeout = std::chrono::milliseconds(600);
+/** Replaces peerTimeout for the first list of members, whose size is not known: 3,000 entries are about 800 kB. */
+constexpr Duration firstMembersTimeout = std::chrono::milliseconds(2500);
 /** A configuration of about 2,000 routes is 260 kB, which takes a second on a link of 2 Mbit/s. With a timeout of 600 ms it would never be received. */
 constexpr Duration configurationTimeout = std::chrono::milliseconds(3000);
 /**
@@ -24,11 +29,17 @@
 /** Interval between reads of the list of VMs. Only leaders need the complete list; VMs that rely on the checks of a leader use the longer one. */
 constexpr Duration vmInterval = std::chrono::seconds(10);
 constexpr Duration longVmInterval = std::chrono::seconds(40);
+/** Delay between the first and the second read of the list. */
+constexpr Duration secondVmListDelay = std::chrono::milliseconds(2500);
 /** Interval between reads of the list while no other VM is known. */
 constexpr Duration firstVmInterval = std::chrono::milliseconds(1000);
 constexpr Duration claimInterval = std::chrono::milliseconds(350);
 /** Replaces claimInterval for VMs that are not delegates in a large fleet. */
 constexpr Duration longClaimInterval = std::chrono::milliseconds(1000);
+/** Replaces claimInterval where groups are so many that all claims are several pages, and are read only by VMs that may lead. */
+constexpr Duration allClaimsInterval = std::chrono::milliseconds(1500);
+/** Interval between reads of the claim on one group. */
+constexpr Duration oneClaimInterval = std::chrono::milliseconds(500);
 /** Delay before a failed call is retried. */
 constexpr Duration retryDelay = std::chrono::milliseconds(300);
 
@@ -40,7 +51,8 @@
 bool membersAreDue(ProxyState &state, Time now)
 {
     StoreSchedule &schedule = state.sessions_->schedule_;
-    const bool due = !state.sessions_->directoryKnown_ || isCheckDue(state, schedule.directoryCheck_, memberInterval, now);
+    const bool isFirst = !state.sessions_->directoryKnown_ && !awaitsVmList(*state.sessions_, now);
+    const bool due = isFirst || (state.sessions_->directoryKnown_ && isCheckDue(state, schedule.directoryCheck_, memberInterval, now));
     return due && isDue(schedule.members_, schedule.membersAt_, now);
 }
 
@@ -49,7 +61,7 @@
     StoreSchedule &schedule = state.sessions_->schedule_;
     schedule.membersAt_ = now + retryDelay;
     // A VM that already has a member directory receives updates through heartbeats, also while the store is unavailable.
-    const std::string peer = schedule.reachable_ || state.sessions_->directoryKnown_ ? std::string() : chooseReadPeer(state, now);
+    const std::string peer = state.sessions_->directoryKnown_ ? std::string() : chooseFirstSource(state, now);
     schedule.members_ = callStore(state, ReadMembers{}, now, out, {peer});
 }
 
@@ -61,12 +73,24 @@
                                [](const auto &entry) { return !entry.second.peer_.empty() && std::holds_alternative<Request>(entry.second.request_); });
 }
 
-void onVmsRead(ProxyState &state, const std::vector<EntryVm> &vms, Time askedAt, Time now)
+/**
+ * Whether a stale list of VMs is sufficient. Only leaders depend on a complete one, and they read it when they revoke a primary. A VM whose first list was
+ * empty reads the current one, so that the VMs of a small fleet find each other at once.
+ */
+bool mayListBeStale(const SessionServiceState &sessions)
+{
+    return !isFullMesh(static_cast<unsigned>(sessions.peers_.size() + 1)) && !leadsAnyGroup(sessions);
+}
+
+void onVmsRead(ProxyState &state, const std::vector<EntryVm> &vms, bool mayBeStale, Time askedAt, Time now)
 {
     SessionServiceState &sessions = *state.sessions_;
-    sessions.schedule_.vmsReadAt_ = std::max(sessions.schedule_.vmsReadAt_, askedAt);
-    for (auto &[name, peer] : sessions.peers_) {
-        peer.registered_ = false;
+    const bool isFirst = !std::exchange(sessions.schedule_.vmsListed_, true);
+    if (!mayBeStale) {
+        sessions.schedule_.vmsReadAt_ = std::max(sessions.schedule_.vmsReadAt_, askedAt);
+        for (auto &[name, peer] : sessions.peers_) {
+            peer.registered_ = false;
+        }
     }
     for (const EntryVm &vm : vms) {
         if (vm.name_ == sessions.identity_.vm_.name_) {
@@ -82,8 +106,8 @@
         }
     }
     if (!isFullMesh(static_cast<unsigned>(vms.size())) && !leadsAnyGroup(sessions)) {
-        // A VM that registers later finds this VM in the list and sends it heartbeats.
-        sessions.schedule_.vmsAt_ = now + longVmInterval;
+        // A VM that registers later finds this VM in the list and sends it heartbeats. When a fleet starts, the first list may lack many VMs.
+        sessions.schedule_.vmsAt_ = now + (isFirst ? secondVmListDelay : longVmInterval);
     }
     sessions.heartbeatNow_ = true;
 }
@@ -146,6 +170,10 @@
     StoreCall call;
     call.id_ = CallId(allocateId(state));
     call.timeout_ = source.peer_.empty() ? callTimeout : peerTimeout;
+    if (std::holds_alternative<ReadMembers>(request) && !source.peer_.empty()) {
+        const Duration transfer = state.sessions_->schedule_.directoryTransferTime_;
+        call.timeout_ = transfer == Duration(0) ? firstMembersTimeout : std::max(peerTimeout, 2 * transfer);
+    }
     if (concernsConfiguration(request)) {
         // A check may also return the whole configuration, so it gets the same time as a read. With a shorter timeout it would be repeated over and over on a
         // small, busy link, and the data already received would be discarded each time.
@@ -174,7 +202,7 @@
     }
     if (schedule.registered_ && isDue(schedule.vms_, schedule.vmsAt_, now)) {
         schedule.vmsAt_ = now + (sessions.peers_.empty() ? firstVmInterval : reliesOnLeaderChecks(sessions, now) ? longVmInterval : vmInterval);
-        schedule.vms_ = callStore(state, ReadVms{}, now, out);
+        schedule.vms_ = callStore(state, ReadVms{.mayBeStale_ = mayListBeStale(sessions)}, now, out);
     }
 }
 
@@ -200,11 +228,19 @@
     if (isDue(schedule.claims_, schedule.claimsAt_, now)) {
         const SessionServiceState &sessions = *state.sessions_;
         const bool usesLongInterval = !isFullMesh(static_cast<unsigned>(sessions.peers_.size() + 1)) && !isDelegate(sessions);
-        schedule.claimsAt_ = now + (usesLongInterval ? longClaimInterval : claimInterval);
+        schedule.claimsAt_ = now + (sessions.onDemand_ ? allClaimsInterval : usesLongInterval ? longClaimInterval : claimInterval);
         schedule.claims_ = callStore(state, ReadClaims{}, now, out);
     }
 }
 
+void requestClaim(ProxyState &state, SessionGroup &group, Time now, Effects &out)
+{
+    if (isDue(group.claimRead_, group.claimReadAfter_, now)) {
+        group.claimReadAfter_ = now + oneClaimInterval;
+        group.claimRead_ = callStore(state, ReadClaims{group.id_}, now, out);
+    }
+}
+
 void requestVmList(ProxyState &state, Time now, Effects &out)
 {
     StoreSchedule &schedule = state.sessions_->schedule_;
@@ -212,7 +248,24 @@
     schedule.vms_ = callStore(state, ReadVms{}, now, out);
 }
 
-void onStoreAnswered(ProxyState &state, const StoreAnswered &answer, Time now, Effects &out)
+namespace {
+
+/** Ends a read of the claim on one group. */
+void finishClaimRead(ProxyState &state, const ServiceId &id, const StoreAnswered &answer, Time askedAt, Time now)
+{
+    if (SessionGroup *group = findGroup(state, id)) {
+        group->claimRead_.reset();
+    }
+    const auto *claims = std::get_if<std::vector<LeaderClaim>>(&answer.content_);
+    if (answer.result_ == StoreResult::NotFound) {
+        onClaimRead(state, id, {}, askedAt, now);
+    } else if (answer.result_ == StoreResult::Done && claims != nullptr) {
+        onClaimRead(state, id, *claims, askedAt, now);
+    }
+}
+
+/** Applies the answer to a call of this VM; an answer to a call that has ended is passed over. */
+void applyStoreAnswer(ProxyState &state, const StoreAnswered &answer, Time now, Effects &out)
 {
     const auto found = state.sessions_->calls_.find(answer.id_);
     if (found == state.sessions_->calls_.end()) {
@@ -230,6 +283,10 @@
         onClaimWritten(state, *write, answer, call.sentAt_, now, out);
         return;
     }
+    if (const auto *read = std::get_if<ReadClaims>(&call.request_); read != nullptr && read->group_) {
+        finishClaimRead(state, *read->group_, answer, call.sentAt_, now);
+        return;
+    }
     if (std::holds_alternative<RegisterVm>(call.request_) && answer.result_ == StoreResult::Done) {
         state.sessions_->schedule_.registered_ = true;
     }
@@ -241,14 +298,27 @@
     }
     if (const auto *directory = std::get_if<MemberDirectory>(&answer.content_)) {
         updateDirectory(state, *directory, now, out);
+        state.sessions_->schedule_.directoryTransferTime_ = now - call.sentAt_;
         if (call.peer_.empty()) {
             recordCheck(state.sessions_->schedule_.directoryCheck_, call.sentAt_);
         }
     } else if (const auto *vms = std::get_if<std::vector<EntryVm>>(&answer.content_)) {
-        onVmsRead(state, *vms, call.sentAt_, now);
+        const bool mayBeStale = std::get<ReadVms>(call.request_).mayBeStale_;
+        onVmsRead(state, *vms, mayBeStale, call.sentAt_, now);
     } else if (const auto *claims = std::get_if<std::vector<LeaderClaim>>(&answer.content_)) {
         onClaimsRead(state, *claims, call.sentAt_, now, out);
     }
 }
 
+} // namespace
+
+void onStoreAnswered(ProxyState &state, const StoreAnswered &answer, Time now, Effects &out)
+{
+    applyStoreAnswer(state, answer, now, out);
+    const SessionServiceState &sessions = *state.sessions_;
+    if (!sessions.configuration_ || !sessions.directoryKnown_) {
+        reviewStoreReads(state, now, out); // A VM that starts takes the next step at once.
+    }
+}
+
 } // namespace Figward
--- a/src/StoreReads.h
+++ b/src/StoreReads.h
@@ -30,6 +30,8 @@
 void onDirectoryReported(ProxyState &state, const VmHeartbeat &heartbeat, Time now, Effects &out);
 /** Reads the claims from the store, unless a read is in flight or the last one was only a few hundred milliseconds ago. */
 void requestClaims(ProxyState &state, Time now, Effects &out);
+/** Reads the claim on \p group, unless that was done a moment ago. */
+void requestClaim(ProxyState &state, SessionGroup &group, Time now, Effects &out);
 /** Reads the list of VMs from the store at once. */
 void requestVmList(ProxyState &state, Time now, Effects &out);
 
--- a/src/WireHeartbeat.cpp
+++ b/src/WireHeartbeat.cpp
@@ -33,6 +33,8 @@
         out.set_sample_age(micros(group.sampleAge_));
     }
     out.set_resigned(group.resigned_);
+    out.set_asks_leader(group.asksLeader_);
+    out.set_leader_name(group.leaderName_);
     if (group.authorityAge_) {
         out.set_authority_age(micros(*group.authorityAge_) + 1);
         out.set_primary(group.primary_.value());
@@ -70,6 +72,8 @@
     group.claimRemaining_ = duration(in.claim_left());
     group.renewals_ = in.renewals();
     group.resigned_ = in.resigned();
+    group.asksLeader_ = in.asks_leader();
+    group.leaderName_ = in.leader_name();
     if (in.authority_age() != 0) {
         group.authorityAge_ = duration(in.authority_age() - 1);
     }
--- a/test/error/SessionRefusesAtOnce.cpp
+++ b/test/error/SessionRefusesAtOnce.cpp
@@ -71,6 +71,26 @@
     EXPECT_THAT(world.violations(), IsEmpty());
 }
 
+// A promotion takes longer than the time after which a VM that reaches no primary, while others hear one, counts itself cut off. Guards against VMs that refuse
+// everything as cut off in the moment in which they are told of the new primary, because the leader has heard it and they have not asked it yet.
+TEST(SessionRefusesAtOnce, nothingAtAVmThatIsToldOfTheNewPrimary)
+{
+    for (unsigned vm = 0; vm < 4; ++vm) {
+        SessionWorld world(slowPromotions());
+        world.run(startTime);
+        world.crashMember(0);
+        awaitLog(world, LogNumber::PrimaryInForce); // The first replacement provides the expected duration.
+        world.restartMember(0);
+        world.run(std::chrono::seconds(3));
+        world.crashMember(world.group().leader().id_ == SessionWorld::memberId(1) ? 1 : 2);
+        awaitLog(world, LogNumber::PromotionCalled);
+        world.run(std::chrono::milliseconds(1400));
+        const auto [reply, time] = write(world, vm);
+        EXPECT_EQ(reply.code_, ReplyCode::None) << "vm " << vm << ": " << reply.text_;
+        EXPECT_THAT(world.logged(LogNumber::VmCutOff), IsEmpty());
+    }
+}
+
 // All VMs lose authority over the primary if the leader dies while the store is unreachable, for an unknown time. Writes wait at first; once the outage has
 // lasted as long as the statement timeout, they must be refused at once.
 TEST(SessionRefusesAtOnce, writesDuringAnOutageOfUnknownLength)
--- a/test/performance/SessionFleetMeasure.cpp
+++ b/test/performance/SessionFleetMeasure.cpp
@@ -28,6 +28,17 @@
     unsigned connections_ = 125; ///< Connections that a member accepts.
 };
 
+/** Sizes of the entries of a large deployment, and the links of its store (1,000 Mbit/s) and of its small VMs (20 Mbit/s). */
+TransferModel transfers(const FleetShape &shape)
+{
+    TransferModel model;
+    model.storeBytesPerSecond_ = 125e6;
+    model.vmBytesPerSecond_ = 2.5e6;
+    model.configurationBytes_ = 480.0 * shape.groups_;
+    model.entryBytes_ = 260;
+    return model;
+}
+
 double processorSeconds()
 {
     return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
@@ -47,6 +58,7 @@
     config.groups_ = shape.groups_;
     config.slots_ = 5;
     config.maxConnections_ = shape.connections_;
+    config.transfers_ = transfers(shape);
     SessionWorld world(config);
     std::vector<LoadRoute> routes;
     for (unsigned group = 0; group < shape.groups_; ++group) {
@@ -54,6 +66,11 @@
         routes.insert(routes.end(), more.begin(), more.end());
     }
     world.run(startTime);
+    unsigned ready = 0;
+    for (unsigned vm = 0; vm < shape.vms_; ++vm) {
+        ready += world.ready(vm) ? 1 : 0;
+    }
+    std::printf("%u of %u VMs ready\n", ready, shape.vms_);
     std::printf("%u VMs, %u groups, start of %lld s: store calls\n", shape.vms_, shape.groups_, static_cast<long long>(toMillis(startTime) / 1000));
     printCalls(world);
     const std::uint64_t heartbeats = world.heartbeats();
--- a/test/support/SessionLoad.cpp
+++ b/test/support/SessionLoad.cpp
@@ -24,6 +24,9 @@
     , vms_(vms)
     , random_(seed)
 {
+    for (const LoadRoute &route : routes_) {
+        counts_.try_emplace(route.database_);
+    }
     world_.setOnAnswer([this](std::size_t client, const ClientAnswer &answer) { onAnswer(client, answer); });
 }
 
--- a/test/support/SessionWorld.h
+++ b/test/support/SessionWorld.h
@@ -20,6 +20,17 @@
 
 namespace Figward::Testing {
 
+/** Sizes of the store's answers and bandwidths of the links over which they arrive; all zero: answers arrive at once. */
+struct TransferModel
+{
+    double storeBytesPerSecond_ = 0; ///< Shared by all answers that are under way.
+    double vmBytesPerSecond_ = 0; ///< Shared by the mirror answers of one VM.
+    unsigned mirrorAnswers_ = 3; ///< Mirror answers of one VM at the same time; further reads are refused.
+    double configurationBytes_ = 0;
+    double entryBytes_ = 0; ///< Of each member, VM or claim in a list.
+    unsigned pageEntries_ = 500; ///< Entries in one answer; each page has the timeout of a call.
+};
+
 /** Size, times and limits of a simulation. */
 struct SessionWorldConfig
 {
@@ -36,6 +47,7 @@
     Duration networkDelay_ = std::chrono::milliseconds(1);
     Duration workTime_ = std::chrono::milliseconds(12);
     Duration promotionTime_ = std::chrono::milliseconds(300);
+    TransferModel transfers_;
 };
 
 /** The answer to a statement, of which there is exactly one. */
@@ -262,6 +274,9 @@
     /** Ends the call with an unknown result at its timeout, as when packets are lost. */
     void endCallAtTimeout(unsigned vm, const StoreCall &call);
     StoreAnswered execute(const StoreCall &call);
+    /** Delivers \p answer when it has been transferred over a link that \p active answers share, or an unknown result if that takes longer than the call. */
+    void transfer(unsigned vm, const StoreCall &call, StoreAnswered answer, double bytesPerSecond, unsigned &active);
+    [[nodiscard]] double bytesOf(const StoreContent &content) const;
     StoreAnswered executeWrite(CallId id, const WriteClaim &write);
     void sendHeartbeat(unsigned vm, const SendHeartbeat &effect);
     void callPromotion(unsigned vm, const CallPromotion &effect);
@@ -282,6 +297,8 @@
     std::uint64_t order_ = 0;
     std::uint64_t heartbeats_ = 0;
     std::map<std::string, std::uint64_t> storeCalls_;
+    unsigned storeTransfers_ = 0; ///< Answers of the store that are under way.
+    std::map<unsigned, unsigned> mirrorTransfers_; ///< The same by VM that answers.
     std::priority_queue<Scheduled, std::vector<Scheduled>, Later> queue_;
     std::vector<Vm> vms_;
     std::vector<Standin::LineGroupModel> groups_;
