--- a/src/Delegates.cpp
+++ b/src/Delegates.cpp
@@ -19,7 +19,7 @@
 constexpr std::size_t relaysPerZone = 2;
 /** Heartbeats a second that a VM sends to each leader that sends to all VMs. */
 constexpr std::size_t heartbeatsPerLeader = std::chrono::seconds(1) / heartbeatInterval;
-/** Heartbeats a second that a VM may send to leaders: together with their answers about a thousandth of a core. */
+/** Heartbeats a second that a VM may send to leaders: each costs both VMs processor time, whether or not clients use the leader's groups. */
 constexpr std::size_t maxLeaderHeartbeats = 40;
 /** Number of groups that a heartbeat may name: some 100 bytes each, in a datagram of at most 64 kB. */
 constexpr std::size_t maxGroupsPerHeartbeat = 400;
--- a/src/HeartbeatPace.h
+++ b/src/HeartbeatPace.h
@@ -50,7 +50,7 @@
  * Interval between heartbeats of the pair. Both VMs usually compute the same value; a receiver relies on the interval that the sender states in its heartbeat.
  */
 Duration heartbeatIntervalOf(const VmPair &pair);
-/** Pace of the pair; each VM sends about 20 heartbeats a second in all, regardless of the number of VMs and groups. */
+/** Pace of the pair. Intervals grow with the number of VMs or delegates, so that the rate of a VM does not grow with the fleet. */
 HeartbeatPace onDemandPaceOf(const OnDemandPair &pair);
 
 } // namespace Figward
