VMs report observations of a group to its leader, which advises all

A VM of a large fleet runs few statements in a group, so it can judge neither the members nor the load by itself. Heartbeats to the leader now carry totals since the VM's start, and the leader merges them and returns advice. First use: replicas that refused a read as lagging far behind are avoided by all VMs while connections are scarce. What heartbeats say about groups has a module of its own (GroupHeartbeats).

--- a/src/SessionEvents.h
+++ b/src/SessionEvents.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "GroupReports.h"
 #include "HeartbeatPace.h"
 #include "SessionConfiguration.h"
 
@@ -57,6 +58,8 @@
     std::uint64_t resigned_ = 0; ///< Highest generation whose leader is known to have resigned, as stated by that leader; zero: none.
     bool asksLeader_ = false; ///< The sender uses the group, takes the receiver for its leader and asks for authority.
     std::string leaderName_; ///< Name of the VM that the sender takes for the leader; sent to VMs that asked the sender although it does not lead.
+    GroupObservations observations_; ///< Sent to the leader only.
+    std::optional<GroupAdvice> advice_; ///< Sent by the leader only.
 };
 
 /** Heartbeat that VMs send each other several times a second, by datagram: it may be lost, delayed or duplicated. */
--- a/src/SessionHeartbeats.cpp
+++ b/src/SessionHeartbeats.cpp
@@ -2,6 +2,7 @@
 
 #include "ConfigurationReads.h"
 #include "Delegates.h"
+#include "GroupHeartbeats.h"
 #include "GroupInterest.h"
 #include "GroupLeadership.h"
 #include "PlannedRevocation.h"
@@ -37,45 +38,6 @@
 /** VMs that are not listed in the store and have been silent for longer are sent no heartbeats. */
 constexpr Duration forgottenAfter = std::chrono::seconds(20);
 
-/** State of \p group as sent to other VMs. */
-GroupHeartbeat describe(ProxyState &state, const SessionGroup &group, Time now)
-{
-    GroupHeartbeat beat;
-    beat.group_ = group.id_;
-    beat.epoch_ = group.authority_.epoch_;
-    const bool leads = group.leader_ && now < group.leader_->validUntil_;
-    beat.resigned_ = group.resigned_;
-    const MemberState *primary = findMember(state, group.authority_.primary_);
-    if (leads) {
-        // Includes what other VMs reported to the leader: in a large fleet they report only to the leader.
-        beat.primaryAnswerAge_ = timeSincePrimaryHeard(state, group, now);
-    } else if (primary != nullptr && primary->lastAnsweredAt_) {
-        beat.primaryAnswerAge_ = now - *primary->lastAnsweredAt_;
-    }
-    if (const std::optional<PositionSample> sample = newestSample(group.samples_)) {
-        beat.sample_ = sample->position_;
-        beat.sampleAge_ = now - sample->sentAt_;
-    }
-    const bool leaderIsSilent = now - group.lastLeaderHeartbeat_ > leaderSilenceTimeout;
-    if (!leads && leaderIsSilent && isDelegate(*state.sessions_) && holdsAuthority(group.authority_, now)) {
-        beat.authorityAge_ = now - (group.authority_.validUntil_ - authorityDuration);
-        beat.primary_ = group.authority_.primary_;
-        beat.term_ = group.authority_.term_;
-    }
-    if (leads) {
-        const LeaderState &leader = *group.leader_;
-        beat.leads_ = true;
-        beat.generation_ = leader.claim_.generation_;
-        beat.phase_ = leader.claim_.phase_;
-        beat.epoch_ = leader.claim_.epoch_;
-        beat.primary_ = leader.claim_.primary_;
-        beat.term_ = leader.claim_.term_;
-        beat.claimRemaining_ = leader.validUntil_ - now;
-        beat.renewals_ = leader.confirmedRenewals_;
-    }
-    return beat;
-}
-
 /** Builds the part of the heartbeat that is the same for all receivers. */
 VmHeartbeat makeHeartbeat(const SessionServiceState &sessions, Time now)
 {
@@ -97,29 +59,6 @@
     return heartbeat;
 }
 
-bool leads(const PeerVm &peer, const ServiceId &group)
-{
-    const auto beat = peer.groups_.find(group);
-    return beat != peer.groups_.end() && beat->second.leads_;
-}
-
-/**
- * Adds the groups that \p peer needs: those that it or this VM leads, resigned ones if the pair uses the short interval, and those for which this VM as a
- * delegate passes on authority while the leader is silent, if the peer is in its zone. With \p all, which is used in a small fleet, adds every group.
- */
-void addGroups(VmHeartbeat &heartbeat, const PeerVm &peer, const std::vector<GroupHeartbeat> &groups, bool all)
-{
-    const bool ownZone = peer.vm_.zone_ == heartbeat.zone_;
-    heartbeat.groups_.clear();
-    for (const GroupHeartbeat &beat : groups) {
-        const bool resigned = beat.resigned_ != 0 && heartbeat.interval_ == heartbeatInterval;
-        const bool passesOnAuthority = beat.authorityAge_ && ownZone;
-        if (all || beat.leads_ || leads(peer, beat.group_) || resigned || passesOnAuthority) {
-            heartbeat.groups_.push_back(beat);
-        }
-    }
-}
-
 /** Whether heartbeats are still sent to \p peer. */
 bool receivesHeartbeats(const PeerVm &peer, Time now)
 {
@@ -185,66 +124,6 @@
     }
 }
 
-void applyLeaderStatement(ProxyState &state, SessionGroup &group, const VmHeartbeat &heartbeat, const GroupHeartbeat &beat, bool echoed, Time now)
-{
-    group.lastLeaderHeartbeat_ = now;
-    group.claimEnds_ = now + beat.claimRemaining_;
-    group.leaderGeneration_ = beat.generation_;
-    group.leaderRenewals_ = beat.renewals_;
-    if (beat.phase_ == ClaimPhase::Replacing) {
-        revokePrimary(state, group, beat.epoch_, now);
-    } else if (echoed) {
-        renewAuthority(group.authority_, beat.epoch_, beat.primary_, beat.term_, heartbeat.echo_);
-    }
-}
-
-/** Records what another VM reports of the group's epoch, and when the primary last answered that VM. */
-void recordReport(const SessionServiceState &sessions, SessionGroup &group, const VmHeartbeat &heartbeat, const GroupHeartbeat &beat, Time now)
-{
-    group.highestEpochHeard_ = std::max(group.highestEpochHeard_, beat.epoch_);
-    if (!beat.primaryAnswerAge_ || beat.epoch_ < group.primaryHeardEpoch_) {
-        return;
-    }
-    const Time answeredAt = sendingTime(sessions, heartbeat, now) - *beat.primaryAnswerAge_;
-    group.primaryHeardAt_ = beat.epoch_ == group.primaryHeardEpoch_ ? std::max(group.primaryHeardAt_, answeredAt) : answeredAt;
-    group.primaryHeardEpoch_ = beat.epoch_;
-}
-
-void applyGroup(ProxyState &state, const VmHeartbeat &heartbeat, const GroupHeartbeat &beat, Time now)
-{
-    SessionGroup *group = findGroup(state, beat.group_);
-    if (group == nullptr) {
-        return;
-    }
-    if (group->resigned_ < beat.resigned_) {
-        group->resigned_ = beat.resigned_;
-        group->lastLeaderHeartbeat_ = Time(); // Allows another VM to claim the group at once.
-        state.sessions_->heartbeatNow_ = true;
-    }
-    const bool echoed = heartbeat.echoOf_ == state.sessions_->identity_.vm_.incarnation_;
-    const std::uint64_t epochBefore = group->authority_.epoch_;
-    recordReport(*state.sessions_, *group, heartbeat, beat, now);
-    recordLeaderName(state, *group, beat, heartbeat.name_, now);
-    if (beat.leads_) {
-        applyLeaderStatement(state, *group, heartbeat, beat, echoed, now);
-    }
-    // A VM that is not listed in the store, or that has not read the claims since, might accept authority that a revoking leader does not know of.
-    const StoreSchedule &schedule = state.sessions_->schedule_;
-    if (beat.authorityAge_ && echoed && schedule.registered_ && schedule.claimsRead_) {
-        renewAuthority(group->authority_, beat.epoch_, beat.primary_, beat.term_, heartbeat.echo_ - *beat.authorityAge_);
-    }
-    if (group->authority_.epoch_ != epochBefore) {
-        state.sessions_->heartbeatNow_ = true; // The leader waits for this VM's confirmation.
-    }
-    const bool sameTerm = beat.sample_ && beat.sample_->term_ == group->authority_.term_;
-    if (echoed && sameTerm) {
-        addSample(group->samples_, {heartbeat.echo_ - beat.sampleAge_, *beat.sample_});
-    }
-    if (beat.sample_ && sameTerm && beat.epoch_ == group->authority_.epoch_) {
-        recordProgress(group->progress_, beat.epoch_, *beat.sample_);
-    }
-}
-
 /** Data shared by the heartbeats that are sent at the same time. */
 struct HeartbeatRound
 {
@@ -276,7 +155,7 @@
         if (group == nullptr || isAdded || !(beat.asksLeader_ || beat.leads_)) {
             continue;
         }
-        heartbeat.groups_.push_back(describe(state, *group, now));
+        heartbeat.groups_.push_back(describeGroup(state, *group, now));
         if (!heartbeat.groups_.back().leads_ && beat.asksLeader_) {
             heartbeat.groups_.back().leaderName_ = group->leaderName_.empty() && group->storedClaim_ ? group->storedClaim_->leaderName_ : group->leaderName_;
         }
@@ -376,7 +255,7 @@
             round.leaders_.emplace(group.id_, leaderToAsk(state, group, now));
         }
         if (!sessions.onDemand_ || isAsked || group.resigned_ != 0) {
-            round.groups_.push_back(describe(state, group, now));
+            round.groups_.push_back(describeGroup(state, group, now));
         }
     });
     round.leadsAny_ = std::ranges::any_of(round.groups_, &GroupHeartbeat::leads_);
@@ -462,7 +341,7 @@
     }
     recordPeer(state, heartbeat, now);
     for (const GroupHeartbeat &beat : heartbeat.groups_) {
-        applyGroup(state, heartbeat, beat, now);
+        applyGroupHeartbeat(state, heartbeat, beat, now);
     }
     if (heartbeat.directoryAge_) {
         onDirectoryReported(state, heartbeat, now, out);
--- a/src/SessionPolicies.h
+++ b/src/SessionPolicies.h
@@ -18,6 +18,7 @@
     bool keepsReserve_ = true; ///< Reserves half of the connections for statements that have waited; see ConnectionPlan.h.
     bool usesTemporaryConnections_ = true; ///< Uses temporary connections when connections are scarce; see ConnectionPlan.h.
     bool skipsLagging_ = true; ///< Avoids a replica for a short time after it refused a read as lagging.
+    bool sharesLag_ = true; ///< Avoids a replica that refused a read of any VM as lagging far behind; see GroupAdvice.h.
     bool prefersOwnZone_ = true; ///< Prefers members of the VM's own availability zone; see StatementPlacement.h.
     bool poolsQuota_ = true; ///< One VM per zone enforces an organisation's rate for all VMs; if false, each VM has an equal share. See OrganisationQuota.h.
     bool deprioritisesPrimary_ = true; ///< Slightly prefers replicas for reads, to leave the primary capacity for writes; see StatementPlacement.h.
--- a/src/SessionService.cpp
+++ b/src/SessionService.cpp
@@ -3,6 +3,7 @@
 #include "ConfigurationReads.h"
 #include "ConnectionSharing.h"
 #include "CutOff.h"
+#include "GroupAdvice.h"
 #include "GroupInterest.h"
 #include "GroupLeadership.h"
 #include "MemberConnections.h"
@@ -157,6 +158,7 @@
     }
     reviewPersistentMembers(*state.sessions_, group, now);
     reviewLeadership(state, group, now, out);
+    reviewAdvice(state, group, now, out);
     if (probesPrimary(*state.sessions_, group)) {
         probePrimary(state, group, now, out);
     }
--- a/src/SessionState.h
+++ b/src/SessionState.h
@@ -123,6 +123,9 @@
     LogPoint position_; ///< Highest log position seen in its answers.
     Time laggedAt_; ///< Time when it last refused a read as lagging.
     std::optional<LogPoint> laggedBehind_;
+    std::optional<LogPoint> longLag_; ///< The same position, if the primary had reached it long before; see recordLagging().
+    std::optional<LogPoint> sharedLag_; ///< Position for which it refused a read of any VM, as advised by the leader, and the time of that refusal.
+    std::optional<Time> sharedLagAt_;
     std::optional<Time> refusedAt_; ///< Time when it last refused a connection as full; it is then alive and reachable.
     Time openAfter_; ///< Earliest time of the next connection attempt.
     unsigned openFailures_ = 0; ///< Number of consecutive failed connection attempts.
@@ -160,6 +163,8 @@
     bool promotionIssued_ = false; ///< This leader or a previous one may have requested a promotion since the group last had a steady primary.
     Time promoteAfter_;
     Time leadSince_;
+    ObservationMerge reports_; ///< What all VMs report about the group.
+    Time adviceReviewAt_; ///< Earliest time at which the advice is updated.
 };
 
 /** Revocation of a leaving primary that takes effect once the statements under way there have ended. */
@@ -204,6 +209,9 @@
     Time authorityLostAt_; ///< Time when authority was last lost; not set before the first loss.
     std::uint64_t heldEpoch_ = 0; ///< Epoch of the authority held last; zero before the first. Authority of a later epoch follows a replacement.
     QueueHistory queue_; ///< History of waiting_.
+    GroupObservations observed_; ///< Totals of this VM since its start.
+    std::optional<Time> lastObservedAt_; ///< Time when observed_ last changed.
+    std::optional<ReceivedAdvice> advice_; ///< Last advice of the leader, or of this VM as the leader; see currentAdvice().
     /** Members to which this VM keeps a persistent connection while connections are scarce: a replica, the primary, or both. */
     std::set<MemberId> persistentMembers_;
     Time persistentMembersReviewAt_; ///< Earliest time at which these members are chosen again.
--- a/src/StatementAnswers.cpp
+++ b/src/StatementAnswers.cpp
@@ -1,5 +1,6 @@
 #include "StatementAnswers.h"
 
+#include "GroupAdvice.h"
 #include "MemberConnections.h"
 #include "ProxyState.h"
 #include "SessionLookup.h"
@@ -42,14 +43,23 @@
     finishStatement(state, session, reply, now, out);
 }
 
-/** Records that the member refused a read because its log does not reach the required position. */
+/**
+ * Records that the member refused a read because its log does not reach the required position. If the primary had reached that position long before, the
+ * refusal is reported to the leader: a replica is usually some milliseconds behind, which tells other VMs nothing.
+ */
 void recordLagging(ProxyState &state, ClientSession &session, const MemberConnection &connection, Time now)
 {
+    constexpr Duration longLag = std::chrono::milliseconds(300);
     MemberState *member = findMember(state, connection.member_);
-    if (member != nullptr && session.run_->after_) {
-        member->laggedAt_ = now;
-        member->laggedBehind_ = session.run_->after_;
+    if (member == nullptr || !session.run_->after_) {
+        return;
     }
+    SessionGroup &group = *findGroup(state, session.route_.service_);
+    const std::optional<LogPoint> reachedBefore = positionBefore(group.samples_, now - longLag);
+    member->laggedAt_ = now;
+    member->laggedBehind_ = session.run_->after_;
+    member->longLag_ = reachedBefore && *session.run_->after_ <= *reachedBefore ? session.run_->after_ : std::nullopt;
+    totalsOf(observe(group, now), connection.member_);
 }
 
 /** Handles an error from a member for the statement or for a request that prepares its connection. */
--- a/src/StatementDispatch.cpp
+++ b/src/StatementDispatch.cpp
@@ -21,6 +21,8 @@
 
 /** Time for which a member that refused a read as lagging is avoided for reads of the same or a higher position. */
 constexpr Duration laggingAvoidTime = std::chrono::milliseconds(150);
+/** The same for a refusal that another VM reported: a report and the leader's advice take up to two heartbeats. */
+constexpr Duration sharedLagAvoidTime = std::chrono::milliseconds(600);
 /** Time for which a member that refused a connection as full is avoided, so that other members take its share of the load. */
 constexpr Duration fullAvoidTime = std::chrono::milliseconds(500);
 /** Retry delay for clients in a zone that is cut off: by then the platform routes new connections to other zones, since it polls readiness once a second. */
@@ -43,6 +45,14 @@
     return findConnection(state, connection)->organisation_ == session.organisation_;
 }
 
+/** Whether the replica is expected to refuse a read that must include \p position, by a refusal here or, while connections are scarce, at any VM. */
+bool isLagging(const SessionPolicies &policies, const MemberState &member, const LogPoint &position, bool scarce, Time now)
+{
+    const bool refusedHere = member.laggedBehind_ && position >= *member.laggedBehind_ && now - member.laggedAt_ < laggingAvoidTime;
+    const bool refusedElsewhere = scarce && member.sharedLag_ && position >= *member.sharedLag_ && now - *member.sharedLagAt_ < sharedLagAvoidTime;
+    return (policies.skipsLagging_ && refusedHere) || (policies.sharesLag_ && refusedElsewhere);
+}
+
 std::vector<PlacementCandidate> placementCandidates(ProxyState &state, const ClientSession &session, const SessionGroup &group, Time now)
 {
     const StatementRun &run = *session.run_;
@@ -66,14 +76,13 @@
         candidate.leaving_ = member->entry_.leaving_;
         candidate.primary_ = primary;
         candidate.deprioritised_ = primary && policies.deprioritisesPrimary_;
-        candidate.lagging_ = policies.skipsLagging_ && !primary && member->laggedBehind_ && position && *position >= *member->laggedBehind_
-                             && now - member->laggedAt_ < laggingAvoidTime;
         candidate.unavailable_ = isUnavailable(*member) || (member->refusedAt_ && now - *member->refusedAt_ < fullAvoidTime);
         const auto matching = std::ranges::count_if(member->idle_, [&](ConnectionId connection) { return isForOrganisation(state, connection, session); });
         candidate.idleConnection_ = matching > 0;
         const bool hasIdleOfOthers = std::cmp_less(matching, member->idle_.size());
         const ConnectionPlan plan = planFor(*state.sessions_, *member, now);
         candidate.temporaryConnections_ = plan.temporary_;
+        candidate.lagging_ = !primary && position && isLagging(policies, *member, *position, plan.temporary_, now);
         const bool hasRoom = member->connections_.size() < connectionsAllowed(plan, now - run.arrived_);
         candidate.mayOpen_ = (hasRoom || hasIdleOfOthers) && now >= member->openAfter_;
         candidates.push_back(candidate);
--- a/src/WireHeartbeat.cpp
+++ b/src/WireHeartbeat.cpp
@@ -22,6 +22,115 @@
     return Duration(static_cast<std::int64_t>(micros));
 }
 
+void encodeSighting(const LagSighting &sighting, v1::LagSighting &out)
+{
+    out.set_term(sighting.position_.term_.value());
+    out.set_position(sighting.position_.position_.value());
+    out.set_age(micros(sighting.age_));
+}
+
+LagSighting decodeSighting(const v1::LagSighting &in)
+{
+    return {LogPoint{Term(in.term()), Position(in.position())}, duration(in.age())};
+}
+
+void encodeObservations(const GroupObservations &observations, v1::GroupBeat &out)
+{
+    for (const MemberTotals &member : observations.members_) {
+        v1::MemberTotals &totals = *out.add_members();
+        totals.set_member(member.member_.value());
+        totals.set_answered(member.answered_);
+        totals.set_failed(member.failed_);
+        totals.set_answer_time(micros(member.answerTime_));
+        if (member.lagged_) {
+            encodeSighting(*member.lagged_, *totals.mutable_lagged());
+        }
+    }
+    for (const PriorityTotals &priority : observations.priorities_) {
+        v1::PriorityTotals &totals = *out.add_priorities();
+        totals.set_primary(priority.pool_ == MemberPool::Primary);
+        totals.set_priority(priority.priority_);
+        totals.set_started(priority.started_);
+        totals.set_shed(priority.shed_);
+        totals.set_wait_time(micros(priority.waitTime_));
+    }
+}
+
+/** Decodes at most as many entries as a VM sends, so that a malformed datagram cannot make the leader hold more. */
+GroupObservations decodeObservations(const v1::GroupBeat &in)
+{
+    GroupObservations observations;
+    for (const v1::MemberTotals &totals : in.members()) {
+        if (observations.members_.size() == maxReportedMembers) {
+            break;
+        }
+        MemberTotals &member = observations.members_.emplace_back();
+        member = {MemberId(totals.member()), totals.answered(), totals.failed(), duration(totals.answer_time())};
+        if (totals.has_lagged()) {
+            member.lagged_ = decodeSighting(totals.lagged());
+        }
+    }
+    for (const v1::PriorityTotals &totals : in.priorities()) {
+        if (observations.priorities_.size() == maxReportedPriorities) {
+            break;
+        }
+        const MemberPool pool = totals.primary() ? MemberPool::Primary : MemberPool::Replicas;
+        observations.priorities_.push_back({pool, totals.priority(), totals.started(), totals.shed(), duration(totals.wait_time())});
+    }
+    return observations;
+}
+
+void encodeLevel(const AdmissionLevel &level, v1::AdmissionLevel &out)
+{
+    out.set_priority(level.priority_);
+    out.set_fraction(level.fraction_);
+    out.set_recovery(micros(level.recovery_));
+}
+
+AdmissionLevel decodeLevel(const v1::AdmissionLevel &in)
+{
+    return {in.priority(), in.fraction(), duration(in.recovery())};
+}
+
+void encodeAdvice(const GroupAdvice &advice, v1::GroupAdvice &out)
+{
+    for (const EjectedMember &ejected : advice.ejected_) {
+        v1::EjectedMember &member = *out.add_ejected();
+        member.set_member(ejected.member_.value());
+        member.set_remaining(micros(ejected.remaining_));
+        member.set_probing(ejected.probing_);
+    }
+    for (const LaggingMember &lagging : advice.lagging_) {
+        v1::LaggingMember &member = *out.add_lagging();
+        member.set_member(lagging.member_.value());
+        encodeSighting(lagging.lagged_, *member.mutable_lagged());
+    }
+    if (advice.primaryLevel_) {
+        encodeLevel(*advice.primaryLevel_, *out.mutable_primary_level());
+    }
+    if (advice.replicaLevel_) {
+        encodeLevel(*advice.replicaLevel_, *out.mutable_replica_level());
+    }
+}
+
+GroupAdvice decodeAdvice(const v1::GroupAdvice &in)
+{
+    GroupAdvice advice;
+    for (const v1::EjectedMember &member : in.ejected()) {
+        advice.ejected_.push_back({MemberId(member.member()), duration(member.remaining()), member.probing()});
+    }
+    for (const v1::LaggingMember &member : in.lagging()) {
+        advice.lagging_.push_back({MemberId(member.member()), decodeSighting(member.lagged())});
+    }
+    if (in.has_primary_level()) {
+        advice.primaryLevel_ = decodeLevel(in.primary_level());
+    }
+    if (in.has_replica_level()) {
+        advice.replicaLevel_ = decodeLevel(in.replica_level());
+    }
+    return advice;
+}
+
 void encodeGroup(const GroupHeartbeat &group, v1::GroupBeat &out)
 {
     out.set_group(group.group_.value());
@@ -35,6 +144,10 @@
     out.set_resigned(group.resigned_);
     out.set_asks_leader(group.asksLeader_);
     out.set_leader_name(group.leaderName_);
+    encodeObservations(group.observations_, out);
+    if (group.advice_) {
+        encodeAdvice(*group.advice_, *out.mutable_advice());
+    }
     if (group.authorityAge_) {
         out.set_authority_age(micros(*group.authorityAge_) + 1);
         out.set_primary(group.primary_.value());
@@ -74,6 +187,10 @@
     group.resigned_ = in.resigned();
     group.asksLeader_ = in.asks_leader();
     group.leaderName_ = in.leader_name();
+    group.observations_ = decodeObservations(in);
+    if (in.has_advice()) {
+        group.advice_ = decodeAdvice(in.advice());
+    }
     if (in.authority_age() != 0) {
         group.authorityAge_ = duration(in.authority_age() - 1);
     }
