Reads are forwarded to the VM that keeps connections of their organisation

Cause: a connection belongs to one organisation, so with many VMs and organisations nearly every statement opens one.

Change: a single read is sent by datagram to the connection holder of its organisation and group in the zone, which runs it on connections that it keeps, under its own authority and positions. The sender runs the read itself if the holder refuses or does not answer.

--- a/src/ConnectionPlan.cpp
+++ b/src/ConnectionPlan.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace Figward {
 
@@ -28,6 +29,10 @@
  * connect.
  */
 constexpr Duration maxIdleTimeout = std::chrono::milliseconds(1000);
+/** Fraction of a member's connections that may be idle where reads are forwarded: the others are for running statements, transactions and openings. */
+constexpr double maxHolderIdleFraction = 0.5;
+/** Maximum idle time of a connection there, however rarely this VM uses the member. */
+constexpr Duration maxHolderIdleTimeout = std::chrono::milliseconds(2000);
 /** Maximum probability, however few VMs there are, with which a statement should find an idle temporary connection. */
 constexpr double maxReuse = 0.95;
 /** Minimum use rate assumed for the idle time: the rate of a VM is unknown until it has used the member a few times, and all VMs may start at once. */
@@ -55,6 +60,9 @@
 ConnectionPlan planConnections(const ConnectionDemand &demand)
 {
     if (demand.allowsTemporary_ && areConnectionsScarce(demand.limit_, demand.vms_)) {
+        if (demand.forwardsReads_) {
+            return {0, std::min(maxTemporary, std::max(1U, demand.limit_)), holderIdleTimeout(demand.limit_, demand.vms_, demand.perSecond_), true};
+        }
         return {demand.persistent_ ? 1U : 0U,
                 std::min(maxTemporary, std::max(1U, demand.limit_)),
                 temporaryIdleTimeout(demand.limit_, demand.vms_, demand.perSecond_),
@@ -74,6 +82,14 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::min(idleSeconds, maxSeconds)));
 }
 
+Duration holderIdleTimeout(unsigned limit, unsigned vms, double perSecond)
+{
+    const double usesOfAll = std::max(1U, vms) * perSecond;
+    const double maxSeconds = std::chrono::duration<double>(maxHolderIdleTimeout).count();
+    const double idleSeconds = maxHolderIdleFraction * limit / std::max(usesOfAll, std::numeric_limits<double>::min());
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::min(idleSeconds, maxSeconds)));
+}
+
 void recordUse(UseRate &rate, Time now)
 {
     rate.perSecond_ = usesPerSecond(rate, now) + 1 / useDecaySeconds;
--- a/src/ConnectionPlan.h
+++ b/src/ConnectionPlan.h
@@ -46,6 +46,7 @@
     bool persistent_ = false; ///< This VM may keep a persistent connection to the member although connections are scarce.
     double perSecond_ = 0; ///< Rate at which this VM uses the member; see UseRate.
     bool allowsTemporary_ = true; ///< If false, each VM has a share of at least one connection, however many VMs there are.
+    bool forwardsReads_ = false; ///< Reads are forwarded to VMs that keep connections for organisations; see ReadForwarding.h.
     bool keepsReserve_ = true; ///< Half of the share is a reserve; if false, the whole share may stay open while idle.
 };
 
@@ -61,6 +62,12 @@
  */
 Duration temporaryIdleTimeout(unsigned limit, unsigned vms, double perSecond);
 
+/**
+ * The same where reads are forwarded to the VMs that keep connections for organisations. There are no persistent connections, so half of the member's
+ * connections may be idle.
+ */
+Duration holderIdleTimeout(unsigned limit, unsigned vms, double perSecond);
+
 /** A member to which VMs may keep a persistent connection. */
 struct MemberLocation
 {
--- a/src/ConnectionSharing.cpp
+++ b/src/ConnectionSharing.cpp
@@ -1,5 +1,7 @@
 #include "ConnectionSharing.h"
 
+#include "ReadForwarding.h"
+
 #include <vector>
 
 namespace Figward {
@@ -82,6 +84,7 @@
     demand.persistent_ = known && group->second.persistentMembers_.contains(member.entry_.id_);
     demand.perSecond_ = usesPerSecond(member.use_, now);
     demand.allowsTemporary_ = sessions.identity_.policies_.usesTemporaryConnections_;
+    demand.forwardsReads_ = forwardsReads(sessions, member.entry_.service_);
     demand.keepsReserve_ = sessions.identity_.policies_.keepsReserve_;
     return planConnections(demand);
 }
@@ -96,6 +99,9 @@
     if (sessions.onDemand_ || !usesTemporaryConnections(sessions, group)) {
         return; // A VM meets a group too seldom to keep a connection for it, or each VM has a share of each member's connections.
     }
+    if (forwardsReads(sessions, group.id_)) {
+        return; // A persistent connection would serve only one organisation.
+    }
     const VmLocation self{sessions.identity_.vm_.incarnation_, sessions.identity_.vm_.zone_};
     const std::vector<VmLocation> others = otherVms(sessions, now);
     const unsigned limit = connectionLimit(sessions, group.id_);
--- a/src/HeartbeatSocket.cpp
+++ b/src/HeartbeatSocket.cpp
@@ -53,6 +53,16 @@
     sendTo(effect.address_, Wire::encodeAdmissionGrant(effect.grant_));
 }
 
+void HeartbeatSocket::send(const SendForwardedRead &effect)
+{
+    sendTo(effect.address_, Wire::encodeForwardedRead(effect.read_));
+}
+
+void HeartbeatSocket::send(const SendForwardedReadResult &effect)
+{
+    sendTo(effect.address_, Wire::encodeForwardedReadResult(effect.result_));
+}
+
 void HeartbeatSocket::sendTo(const std::string &address, const std::string &datagram)
 {
     const std::optional<SocketAddress> parsed = parseSocketAddress(address);
@@ -70,6 +80,8 @@
         [&](VmHeartbeat &heartbeat) { events_.post(SessionEvent(HeartbeatReceived{std::move(heartbeat)})); },
         [&](AdmissionRequest &request) { events_.post(SessionEvent(std::move(request))); },
         [&](AdmissionGrant &grant) { events_.post(SessionEvent(std::move(grant))); },
+        [&](ForwardedRead &read) { events_.post(SessionEvent(std::move(read))); },
+        [&](ForwardedReadResult &result) { events_.post(SessionEvent(std::move(result))); },
     };
     if (std::optional<Wire::VmDatagram> decoded = Wire::decodeDatagram(datagram)) {
         std::visit(handle, *decoded);
--- a/src/HeartbeatSocket.h
+++ b/src/HeartbeatSocket.h
@@ -22,6 +22,8 @@
     void send(const SendHeartbeat &effect);
     void send(const SendAdmissionRequest &effect);
     void send(const SendAdmissionGrant &effect);
+    void send(const SendForwardedRead &effect);
+    void send(const SendForwardedReadResult &effect);
 
 private:
     void sendTo(const std::string &address, const std::string &datagram);
--- a/src/LogEvents.h
+++ b/src/LogEvents.h
@@ -70,6 +70,7 @@
     StatementRetried = 507,
     KeyRefused = 508,
     KeysRevoked = 509,
+    HolderSilent = 512,
     StoreLost = 601,
     StoreRegained = 602,
     StoreObjectUnreadable = 603,
--- a/src/Reducer.cpp
+++ b/src/Reducer.cpp
@@ -44,6 +44,7 @@
         return onKeyTrimTimer;
     case TimerTopic::SessionStatement:
     case TimerTopic::SessionReview:
+    case TimerTopic::ForwardedRead:
         return onSessionTimer;
     }
     return nullptr;
--- a/src/SessionDrain.cpp
+++ b/src/SessionDrain.cpp
@@ -2,6 +2,7 @@
 
 #include "GroupLeadership.h"
 #include "ProxyState.h"
+#include "ReadForwarding.h"
 #include "SessionLookup.h"
 #include "SessionStatements.h"
 #include "StatementOutcome.h"
@@ -57,7 +58,7 @@
 {
     std::vector<SessionKey> waiting;
     for (const auto &[key, session] : state.sessions_->sessions_) {
-        if (session.run_ && !session.run_->connection_ && now - session.run_->arrived_ >= maxWait) {
+        if (session.run_ && !session.run_->connection_ && !session.run_->forward_ && now - session.run_->arrived_ >= maxWait) {
             waiting.push_back(key);
         }
     }
@@ -67,6 +68,17 @@
     }
 }
 
+/** The same for reads of other VMs. */
+void refuseWaitingReads(ProxyState &state, Duration maxWait, Time now, Effects &out)
+{
+    for (auto &[key, read] : state.sessions_->forwarding_.received_) {
+        const std::optional<StatementRun> &run = read.session_.run_;
+        if (run && !run->connection_ && now - run->arrived_ >= maxWait) {
+            refuseForwardedRead(state, read.session_, now, out);
+        }
+    }
+}
+
 } // namespace
 
 void startSessionDrain(ProxyState &state, Time now, Effects &out)
@@ -95,9 +107,12 @@
         return;
     }
     const Duration left = sessions.identity_.drainTime_ - endMargin - since;
-    refuseWaiting(state, left < refuseAllTime ? Duration(0) : drainMaxWait, now, out);
+    const Duration maxWait = left < refuseAllTime ? Duration(0) : drainMaxWait;
+    refuseWaiting(state, maxWait, now, out);
+    refuseWaitingReads(state, maxWait, now, out);
     closeIdleSessions(sessions, now, out);
-    if (sessions.sessions_.empty() || since > sessions.identity_.drainTime_ - endMargin) {
+    const bool isIdle = sessions.sessions_.empty() && !runsForwardedReads(sessions);
+    if (isIdle || since > sessions.identity_.drainTime_ - endMargin) {
         sessions.exiting_ = true;
         out.emplace_back(WriteLog{LogNumber::ProcessStopped, {{"sessions", absl::StrCat(sessions.sessions_.size())}}});
         out.emplace_back(ExitProcess{});
--- a/src/SessionEvents.h
+++ b/src/SessionEvents.h
@@ -110,6 +110,43 @@
     Duration nextIn_{}; ///< Time until the next permit is available.
 };
 
+/** Read of a client, sent by datagram from one VM to the connection holder of the client's organisation; see ReadForwarding.h. */
+struct ForwardedRead
+{
+    std::string name_; ///< Name of the sender; the next three fields are also the sender's.
+    VmId from_;
+    std::string address_;
+    ZoneId zone_;
+    std::uint64_t number_ = 0; ///< Number of the read at the sender; repeated in the result.
+    OrganisationId organisation_;
+    std::string database_; ///< Name given by the client; only for the log.
+    ServiceId service_;
+    Consistency consistency_ = Consistency::Primary;
+    Duration maxStaleness_{};
+    unsigned priority_ = 0;
+    Duration timeLeft_{}; ///< Time until the holder's result is due.
+    std::optional<LogPoint> lastCommit_; ///< Position of the last commit of the client's session.
+    std::map<std::string, std::string> values_; ///< Session values.
+    ClientStatement statement_; ///< A Read or an Execute.
+    std::string shape_; ///< Execute: shape of the prepared statement.
+};
+/** State of a forwarded read at the connection holder. */
+enum class ForwardedReadOutcome {
+    Running,
+    Answered, ///< The result holds the reply for the client.
+    NotServed, ///< The holder cannot serve the read, for a reason of its own; the sender runs it.
+    TooLarge, ///< The reply does not fit into a datagram; the sender runs the read.
+};
+/** Answer of the connection holder to a ForwardedRead, sent by datagram. */
+struct ForwardedReadResult
+{
+    VmId from_;
+    VmId to_;
+    std::uint64_t number_ = 0;
+    ForwardedReadOutcome outcome_ = ForwardedReadOutcome::Running;
+    SessionReply reply_;
+};
+
 /** Reads the configuration; answered with ConfigurationRead. */
 struct ReadConfiguration
 {
@@ -207,6 +244,8 @@
                                   HeartbeatReceived,
                                   AdmissionRequest,
                                   AdmissionGrant,
+                                  ForwardedRead,
+                                  ForwardedReadResult,
                                   StoreAnswered,
                                   StoreAnswerBegan,
                                   PromotionAnswered>;
@@ -258,6 +297,18 @@
     std::string address_;
     AdmissionGrant grant_;
 };
+/** Sends a read by datagram to the VM at "IP:port"; it may be lost. */
+struct SendForwardedRead
+{
+    std::string address_;
+    ForwardedRead read_;
+};
+/** Sends the result of a forwarded read by datagram to the VM at "IP:port"; it may be lost. */
+struct SendForwardedReadResult
+{
+    std::string address_;
+    ForwardedReadResult result_;
+};
 /** Calls the store, or a VM in its place; results in StoreAnswered, also on timeout. */
 struct CallStore
 {
@@ -284,6 +335,7 @@
     bool writes_ = false; ///< The statement was a write or a commit.
     ReplyCode code_ = ReplyCode::None;
     bool usedPrimary_ = false;
+    bool forwarded_ = false; ///< Another VM ran it; usedPrimary_ and attempts_ then tell nothing.
     unsigned attempts_ = 0;
     Duration total_{};
     Duration waiting_{}; ///< Time spent waiting for a connection to a member.
@@ -298,6 +350,8 @@
                                    SendHeartbeat,
                                    SendAdmissionRequest,
                                    SendAdmissionGrant,
+                                   SendForwardedRead,
+                                   SendForwardedReadResult,
                                    CallStore,
                                    CallPromotion,
                                    SetReady,
--- a/src/SessionLookup.cpp
+++ b/src/SessionLookup.cpp
@@ -32,7 +32,11 @@
 
 ClientSession *findSession(ProxyState &state, SessionKey key)
 {
-    return findIn(state.sessions_->sessions_, key);
+    if (ClientSession *session = findIn(state.sessions_->sessions_, key)) {
+        return session;
+    }
+    ReceivedRead *read = findIn(state.sessions_->forwarding_.received_, key);
+    return read == nullptr ? nullptr : &read->session_;
 }
 
 } // namespace Figward
--- a/src/SessionLookup.h
+++ b/src/SessionLookup.h
@@ -15,7 +15,7 @@
 MemberState *findMember(ProxyState &state, const MemberId &member);
 /** The connection with this id, or null if there is none. */
 MemberConnection *findConnection(ProxyState &state, ConnectionId connection);
-/** The session, or null if the client has closed it. */
+/** The session of a client, or the one that represents a read of another VM; null if the client has closed it, or the read has been discarded. */
 ClientSession *findSession(ProxyState &state, SessionKey key);
 
 } // namespace Figward
--- a/src/SessionMetrics.cpp
+++ b/src/SessionMetrics.cpp
@@ -71,6 +71,10 @@
     , promotions_(BuildCounter().Name("figward_promotion_calls_total").Help("Answers to calls that make a member the primary").Register(registry))
     , memberConnections_(BuildGauge().Name("figward_member_connections").Help("Connections to members, in use or idle").Register(registry))
     , authority_(BuildGauge().Name("figward_authority_seconds").Help("How much longer the group's primary may be used; zero: not").Register(registry))
+    , forwardedReads_(BuildCounter()
+                          .Name("figward_forwarded_reads_total")
+                          .Help("Reads forwarded to another VM, answered by it or run here after all, and reads received from other VMs")
+                          .Register(registry))
     , replicaReads_(counter(registry, "figward_statements_by_replicas_total", "Statements that a replica ran"))
     , retries_(counter(registry, "figward_statement_retries_total", "Further tries of statements"))
     , sessions_(gauge(registry, "figward_sessions", "Sessions that are open"))
@@ -131,7 +135,7 @@
     if (ended.atMember_) {
         observeTime(ended.consistency_, Stage::Member, *ended.atMember_);
     }
-    if (ended.code_ == ReplyCode::None && !ended.usedPrimary_) {
+    if (ended.code_ == ReplyCode::None && !ended.usedPrimary_ && !ended.forwarded_) {
         replicaReads_.Increment();
     }
     if (ended.attempts_ > 1) {
@@ -139,8 +143,21 @@
     }
 }
 
+void SessionMetrics::observeForwarding(const ForwardingTotals &totals)
+{
+    const auto set = [&](const char *event, std::uint64_t total) {
+        prometheus::Counter &found = forwardedReads_.Add({{"event", event}});
+        found.Increment(static_cast<double>(total) - found.Value());
+    };
+    set("forwarded", totals.forwarded_);
+    set("answered", totals.answered_);
+    set("fallback", totals.fallbacks_);
+    set("received", totals.received_);
+}
+
 void SessionMetrics::observe(const SessionServiceState &state, Time now)
 {
+    observeForwarding(state.forwarding_.totals_);
     sessions_.Set(static_cast<double>(state.sessions_.size()));
     std::size_t waiting = 0;
     for (const auto &[id, group] : state.groups_) {
--- a/src/SessionMetrics.h
+++ b/src/SessionMetrics.h
@@ -37,6 +37,7 @@
     void observeStatement(const StatementEnded &ended);
     void observeTime(Consistency route, Stage stage, Duration time);
     prometheus::Counter &statementCounter(const StatementEnded &ended);
+    void observeForwarding(const ForwardingTotals &totals);
     void observeMembers(const SessionServiceState &state);
     void observeAges(const SessionServiceState &state, Time now);
 
@@ -47,6 +48,7 @@
     prometheus::Family<prometheus::Counter> &promotions_;
     prometheus::Family<prometheus::Gauge> &memberConnections_;
     prometheus::Family<prometheus::Gauge> &authority_;
+    prometheus::Family<prometheus::Counter> &forwardedReads_;
     prometheus::Counter &replicaReads_;
     prometheus::Counter &retries_;
     prometheus::Gauge &sessions_;
--- a/src/SessionService.cpp
+++ b/src/SessionService.cpp
@@ -13,6 +13,7 @@
 #include "PlannedRevocation.h"
 #include "PrimaryReplacement.h"
 #include "ProxyState.h"
+#include "ReadForwarding.h"
 #include "SessionAccess.h"
 #include "SessionDrain.h"
 #include "SessionHeartbeats.h"
@@ -198,6 +199,7 @@
     reviewWaitingSessions(state, now, out);
     closeRevokedSessions(*state.sessions_, out);
     reviewSessions(state, now, out);
+    reviewForwardedReads(*state.sessions_, now);
     reviewSessionDrain(state, now, out);
     reviewCutOff(*state.sessions_, now, out);
     reviewReady(state, out);
@@ -216,6 +218,8 @@
 {
     if (tag.topic_ == TimerTopic::SessionReview) {
         review(state, now, out);
+    } else if (tag.topic_ == TimerTopic::ForwardedRead) {
+        onForwardTimeout(state, SessionKey(tag.key_), now, out);
     } else {
         onStatementDeadline(state, SessionKey(tag.key_), now, out);
     }
@@ -231,6 +235,8 @@
         [&](const HeartbeatReceived &body) { onHeartbeatReceived(state, body.heartbeat_, now, out); },
         [&](const AdmissionRequest &body) { onAdmissionRequest(state, body, now, out); },
         [&](const AdmissionGrant &body) { onAdmissionGrant(state, body, now, out); },
+        [&](const ForwardedRead &body) { onForwardedRead(state, body, now, out); },
+        [&](const ForwardedReadResult &body) { onForwardedReadResult(state, body, now, out); },
         [&](const StoreAnswered &body) { onStoreAnswered(state, body, now, out); },
         [&](const StoreAnswerBegan &body) { onStoreAnswerBegan(state, body, now); },
         [&](const PromotionAnswered &body) { onPromotionAnswered(state, body, now, out); },
--- a/src/SessionState.h
+++ b/src/SessionState.h
@@ -32,6 +32,16 @@
     bool writes_ = false;
 };
 
+/** A read that was sent to the connection holder of its organisation. */
+struct PendingForward
+{
+    std::uint64_t number_ = 0;
+    std::string holder_; ///< Name of the VM.
+    VmId incarnation_; ///< Its process.
+    Time sentAt_; ///< Time when the request was last sent, or the holder last stated that the read is running.
+    bool repeated_ = false; ///< The request was sent twice since the holder last answered.
+};
+
 /** A client's statement that needs a member and is not answered yet. */
 struct StatementRun
 {
@@ -50,6 +60,17 @@
     unsigned attempts_ = 0;
     std::set<MemberId> excludedMembers_; ///< Members that refused it or did not answer.
     std::optional<LogPoint> after_; ///< Position that the member's log must include.
+    std::optional<PendingForward> forward_; ///< Present while another VM runs the read.
+    bool runsHere_ = false; ///< It is not forwarded: another VM forwarded it here, or its connection holder did not serve it.
+};
+
+/** VM that forwarded a read to this one. */
+struct ForwardSender
+{
+    std::string name_;
+    VmId incarnation_;
+    std::string address_;
+    std::uint64_t number_ = 0; ///< Number of the read at that VM.
 };
 
 /** Session of a client. */
@@ -74,6 +95,7 @@
     std::optional<StatementRun> run_;
     std::deque<ClientStatement> queued_; ///< Statements received before the previous one was answered.
     Time lastActive_;
+    std::optional<ForwardSender> sender_; ///< Present if the session represents a single read that another VM forwarded; see ReadForwarding.h.
 };
 
 /** What a member connection is used for. */
@@ -349,6 +371,40 @@
     std::set<ZoneId> zones_;
 };
 
+/** A read that another VM forwarded to this one. */
+struct ReceivedRead
+{
+    ClientSession session_;
+    std::optional<ForwardedReadResult> result_; ///< Present once the read has ended.
+    Time endedAt_;
+};
+/** A connection holder that did not answer. */
+struct SilentHolder
+{
+    Time since_;
+    Time notBefore_; ///< Earliest time of the next read that is forwarded to it.
+    unsigned failures_ = 0; ///< Number of times that it did not answer, without a result in between.
+};
+/** Numbers of reads since the process started. */
+struct ForwardingTotals
+{
+    std::uint64_t forwarded_ = 0;
+    std::uint64_t answered_ = 0; ///< The reply of the holder was given to the client.
+    std::uint64_t fallbacks_ = 0; ///< Forwarded reads that this VM then ran itself.
+    std::uint64_t received_ = 0; ///< Reads of other VMs that this VM accepted.
+};
+/** State of the forwarding of reads; see ReadForwarding.h. */
+struct ForwardingState
+{
+    std::map<std::uint64_t, SessionKey> sent_; ///< Sessions whose reads other VMs run, by number of the read.
+    std::map<SessionKey, ReceivedRead> received_; ///< Reads of other VMs; their keys are never those of clients' sessions.
+    std::map<std::pair<VmId, std::uint64_t>, SessionKey> receivedKeys_; ///< Keys in received_ by sender and number.
+    std::deque<SessionKey> ended_; ///< Keys of the ended reads in received_, oldest first.
+    std::map<std::string, SilentHolder> silent_; ///< By name.
+    std::optional<Time> silenceLoggedAt_;
+    ForwardingTotals totals_;
+};
+
 /** State of a proxy's sessions. */
 struct SessionServiceState
 {
@@ -372,6 +428,7 @@
     std::map<std::string, PeerVm> peers_; ///< Other VMs by name.
     std::map<CallId, PendingStoreCall> calls_;
     AdmissionState quotas_;
+    ForwardingState forwarding_;
     StoreSchedule schedule_;
     Time heartbeatsReviewAt_; ///< Time before which no heartbeat is due, except those requested at once.
     bool heartbeatNow_ = false;
--- a/src/SessionStatements.cpp
+++ b/src/SessionStatements.cpp
@@ -4,6 +4,7 @@
 #include "MemberConnections.h"
 #include "OrganisationQuota.h"
 #include "ProxyState.h"
+#include "ReadForwarding.h"
 #include "SessionAccess.h"
 #include "SessionLookup.h"
 #include "StatementDispatch.h"
@@ -253,6 +254,9 @@
         return;
     }
     dequeueStatement(state, *session);
+    if (session->run_) {
+        endForward(*state.sessions_, *session->run_);
+    }
     const std::optional<ConnectionId> connection = session->run_ && session->run_->connection_ ? session->run_->connection_ : session->pinned_;
     if (connection) {
         releaseMemberConnection(state, *connection, now, out);
@@ -267,6 +271,10 @@
         return;
     }
     const StatementRun &run = *session->run_;
+    if (run.forward_) {
+        finishUnconfirmed(state, *session, ReplyCode::Timeout, "the VM that runs the read did not answer in time", now, out);
+        return;
+    }
     if (!run.sent_) {
         refuseStatement(state, *session, ReplyCode::Retry, retryAfterText(defaultRetryDelay, waitReason(state, *session, now)), now, out);
         return;
@@ -285,7 +293,7 @@
 {
     std::vector<SessionKey> unanswered;
     std::vector<SessionKey> idle;
-    for (const auto &[key, session] : state.sessions_->sessions_) {
+    const auto review = [&](SessionKey key, const ClientSession &session) {
         if (session.run_ || session.state_ == TransactionState::Open) {
             useGroup(state, session, now);
         }
@@ -298,6 +306,12 @@
             && now - session.lastActive_ > state.sessions_->configuration_->transactionIdle_) {
             idle.push_back(key);
         }
+    };
+    for (const auto &[key, session] : state.sessions_->sessions_) {
+        review(key, session);
+    }
+    for (const auto &[key, read] : state.sessions_->forwarding_.received_) {
+        review(key, read.session_);
     }
     for (const SessionKey key : unanswered) {
         ClientSession &session = *findSession(state, key);
--- a/src/StatementDispatch.cpp
+++ b/src/StatementDispatch.cpp
@@ -6,6 +6,7 @@
 #include "OrganisationQuota.h"
 #include "PlannedRevocation.h"
 #include "ProxyState.h"
+#include "ReadForwarding.h"
 #include "SessionLookup.h"
 #include "StatementNeeds.h"
 #include "StatementOutcome.h"
@@ -203,6 +204,26 @@
     openStatementConnection(state, member, session.organisation_, now, out);
 }
 
+/** Forwards the statement to another VM, or refuses a read of another VM that this one cannot serve. Returns true if this VM does not run it. */
+bool runsElsewhere(ProxyState &state,
+                   const SessionGroup &group,
+                   ClientSession &session,
+                   const std::vector<PlacementCandidate> &candidates,
+                   Time now,
+                   Effects &out)
+{
+    if (session.sender_) {
+        const bool isReachable =
+            std::ranges::any_of(candidates, [&](const PlacementCandidate &candidate) { return !isUnavailable(*findMember(state, candidate.member_)); });
+        if (isReachable && !isUnservable(state, group, candidates, now)) {
+            return false;
+        }
+        refuseForwardedRead(state, session, now, out);
+        return true;
+    }
+    return std::ranges::none_of(candidates, &PlacementCandidate::idleConnection_) && forwardRead(state, session, now, out);
+}
+
 /** Places the statement, opens a connection for it, refuses it, or leaves it waiting behind \p ahead others. Returns true if it still waits. */
 bool dispatchStatement(ProxyState &state, SessionGroup &group, ClientSession &session, unsigned ahead, Time now, Effects &out)
 {
@@ -210,7 +231,7 @@
         return true;
     }
     const std::vector<PlacementCandidate> candidates = placementCandidates(state, session, group, now);
-    if (refuseUnservable(state, group, session, candidates, ahead, now, out)) {
+    if (runsElsewhere(state, group, session, candidates, now, out) || refuseUnservable(state, group, session, candidates, ahead, now, out)) {
         return false;
     }
     const Placement placement = placeStatement(candidates);
--- a/src/StatementLog.cpp
+++ b/src/StatementLog.cpp
@@ -57,6 +57,12 @@
     if (session.organisation_ != OrganisationId()) {
         line.fields_.push_back({"organisation", session.organisation_.value()});
     }
+    if (run.forward_) {
+        line.fields_.push_back({"holder", run.forward_->holder_});
+    }
+    if (session.sender_) {
+        line.fields_.push_back({"sender", session.sender_->name_});
+    }
     return line;
 }
 
@@ -74,11 +80,15 @@
 void logOutcome(ProxyState &state, const ClientSession &session, const StatementRun &run, const SessionReply &reply, Time now, Effects &out)
 {
     out.emplace_back(makeLogLine(state, session, run, numberOf(run, reply.code_, now), toString(reply.code_), reply.text_, now));
+    if (session.sender_) {
+        return; // The VM of the client counts the statement.
+    }
     StatementEnded ended;
     ended.consistency_ = session.route_.consistency_;
     ended.writes_ = isWrite(session, run.statement_) || run.statement_.kind_ == StatementKind::Commit;
     ended.code_ = reply.code_;
     ended.usedPrimary_ = run.usesPrimary_;
+    ended.forwarded_ = run.forward_.has_value();
     ended.attempts_ = run.attempts_;
     ended.total_ = now - run.arrived_;
     ended.waiting_ = (run.placedAt_ == Time() ? now : run.placedAt_) - run.arrived_;
--- a/src/StatementOutcome.cpp
+++ b/src/StatementOutcome.cpp
@@ -3,6 +3,7 @@
 #include "MemberConnections.h"
 #include "OrganisationQuota.h"
 #include "ProxyState.h"
+#include "ReadForwarding.h"
 #include "SessionLookup.h"
 #include "SessionStatements.h"
 #include "StatementLog.h"
@@ -85,6 +86,11 @@
 {
     const StatementRun run = *std::exchange(session.run_, std::nullopt);
     logOutcome(state, session, run, reply, now, out);
+    endForward(*state.sessions_, run);
+    if (session.sender_) {
+        answerForwardedRead(state, session, std::move(reply), now, out);
+        return;
+    }
     sendReply(session, std::move(reply), out);
     takeNextStatement(state, session, now, out);
 }
--- a/src/TimerService.h
+++ b/src/TimerService.h
@@ -29,6 +29,7 @@
     KeyTrim,
     SessionStatement,
     SessionReview,
+    ForwardedRead,
 };
 
 /** Identifies a timer to its subscriber. Timers cannot be cancelled; the subscriber ignores a tag whose key it no longer knows. */
--- a/src/WireHeartbeat.cpp
+++ b/src/WireHeartbeat.cpp
@@ -3,12 +3,34 @@
 #include "Protocol.h"
 
 #include <algorithm>
+#include <array>
 #include <heartbeat.pb.h>
 
 namespace Figward::Wire {
 
 namespace {
 
+/** Limit on the size of a datagram with a forwarded read or its result; VMs send at most 16 KiB of content in one. */
+constexpr std::size_t maxForwardedBytes = std::size_t{24} * 1024;
+/** Limit on the times in a forwarded read; a longer one is not plausible. */
+constexpr Duration maxReadTime = std::chrono::hours(24);
+/** Codes of a reply by their number in a datagram. */
+constexpr std::array replyCodes{ReplyCode::None,
+                                ReplyCode::Retry,
+                                ReplyCode::Aborted,
+                                ReplyCode::Lagging,
+                                ReplyCode::ReadOnly,
+                                ReplyCode::Misrouted,
+                                ReplyCode::TooMany,
+                                ReplyCode::NoStatement,
+                                ReplyCode::Failed,
+                                ReplyCode::Timeout,
+                                ReplyCode::InDoubt,
+                                ReplyCode::NoDatabase,
+                                ReplyCode::NotAuthenticated,
+                                ReplyCode::Malformed,
+                                ReplyCode::Other};
+
 /** Limit on the permits in one request or grant; a larger number is not plausible. */
 constexpr double maxPermits = 1e6;
 
@@ -243,6 +265,130 @@
     return grant;
 }
 
+v1::ForwardedRead::Consistency encodeConsistency(Consistency consistency)
+{
+    switch (consistency) {
+    case Consistency::Primary:
+        return v1::ForwardedRead::PRIMARY;
+    case Consistency::BoundedStaleness:
+        return v1::ForwardedRead::BOUNDED_STALENESS;
+    case Consistency::ReadYourWrites:
+        return v1::ForwardedRead::READ_YOUR_WRITES;
+    }
+    return v1::ForwardedRead::CONSISTENCY_UNSPECIFIED;
+}
+
+std::optional<Consistency> decodeConsistency(v1::ForwardedRead::Consistency consistency)
+{
+    switch (consistency) {
+    case v1::ForwardedRead::PRIMARY:
+        return Consistency::Primary;
+    case v1::ForwardedRead::BOUNDED_STALENESS:
+        return Consistency::BoundedStaleness;
+    case v1::ForwardedRead::READ_YOUR_WRITES:
+        return Consistency::ReadYourWrites;
+    default:
+        return std::nullopt;
+    }
+}
+
+std::optional<StatementKind> decodeKind(v1::ForwardedRead::Kind kind)
+{
+    switch (kind) {
+    case v1::ForwardedRead::READ:
+        return StatementKind::Read;
+    case v1::ForwardedRead::EXECUTE:
+        return StatementKind::Execute;
+    default:
+        return std::nullopt;
+    }
+}
+
+std::optional<ForwardedReadOutcome> decodeOutcome(v1::ForwardedReadResult::Outcome outcome)
+{
+    switch (outcome) {
+    case v1::ForwardedReadResult::RUNNING:
+        return ForwardedReadOutcome::Running;
+    case v1::ForwardedReadResult::ANSWERED:
+        return ForwardedReadOutcome::Answered;
+    case v1::ForwardedReadResult::NOT_SERVED:
+        return ForwardedReadOutcome::NotServed;
+    case v1::ForwardedReadResult::TOO_LARGE:
+        return ForwardedReadOutcome::TooLarge;
+    default:
+        return std::nullopt;
+    }
+}
+
+Duration readTime(std::uint64_t micros)
+{
+    return duration(std::min(micros, static_cast<std::uint64_t>(maxReadTime.count())));
+}
+
+ClientStatement decodeStatement(const v1::ForwardedRead &body, StatementKind kind)
+{
+    ClientStatement statement;
+    statement.id_ = body.id();
+    statement.kind_ = kind;
+    statement.text_ = body.text();
+    statement.name_ = body.name();
+    statement.value_ = body.arguments();
+    return statement;
+}
+
+std::optional<ForwardedRead> decodeForwardedRead(const v1::Beat &in)
+{
+    const v1::ForwardedRead &body = in.forwarded_read();
+    const std::optional<Consistency> consistency = decodeConsistency(body.consistency());
+    const std::optional<StatementKind> kind = decodeKind(body.kind());
+    if (!consistency || !kind || body.number() == 0 || body.organisation().empty() || body.service().empty()) {
+        return std::nullopt;
+    }
+    ForwardedRead read{in.name(), VmId(in.incarnation()), in.address(), ZoneId(in.zone()), body.number(), OrganisationId(body.organisation())};
+    read.database_ = body.database();
+    read.service_ = ServiceId(body.service());
+    read.consistency_ = *consistency;
+    read.maxStaleness_ = readTime(body.max_staleness());
+    read.priority_ = body.priority();
+    read.timeLeft_ = readTime(body.time_left());
+    if (body.commit_term() != 0) {
+        read.lastCommit_ = LogPoint{Term(body.commit_term()), Position(body.commit_position())};
+    }
+    for (const v1::SessionValue &value : body.values()) {
+        read.values_[value.name()] = value.value();
+    }
+    read.statement_ = decodeStatement(body, *kind);
+    read.shape_ = body.shape();
+    return read;
+}
+
+std::optional<ForwardedReadResult> decodeForwardedReadResult(const v1::Beat &in)
+{
+    const v1::ForwardedReadResult &body = in.forwarded_read_result();
+    const std::optional<ForwardedReadOutcome> outcome = decodeOutcome(body.outcome());
+    if (!outcome || body.code() >= replyCodes.size()) {
+        return std::nullopt;
+    }
+    ForwardedReadResult result{VmId(in.incarnation()), VmId(body.to()), body.number(), *outcome};
+    if (*outcome == ForwardedReadOutcome::Answered) {
+        result.reply_.rows_.assign(body.rows().begin(), body.rows().end());
+        result.reply_.code_ = replyCodes.at(body.code());
+        result.reply_.receipt_ = body.receipt();
+        result.reply_.text_ = body.text();
+        if (body.term() != 0) {
+            result.reply_.position_ = LogPoint{Term(body.term()), Position(body.position())};
+        }
+    }
+    return result;
+}
+
+/** Converts a decoded message of any kind. */
+template<typename Message>
+std::optional<VmDatagram> asDatagram(std::optional<Message> message)
+{
+    return message ? std::optional<VmDatagram>(std::move(*message)) : std::nullopt;
+}
+
 } // namespace
 
 std::string encodeHeartbeat(const VmHeartbeat &heartbeat)
@@ -296,19 +442,84 @@
     return out.SerializeAsString();
 }
 
+std::string encodeForwardedRead(const ForwardedRead &read)
+{
+    v1::Beat out;
+    out.set_name(read.name_);
+    out.set_incarnation(read.from_.value());
+    out.set_address(read.address_);
+    out.set_zone(read.zone_.value());
+    v1::ForwardedRead &body = *out.mutable_forwarded_read();
+    body.set_number(read.number_);
+    body.set_organisation(read.organisation_.value());
+    body.set_database(read.database_);
+    body.set_service(read.service_.value());
+    body.set_consistency(encodeConsistency(read.consistency_));
+    body.set_max_staleness(micros(read.maxStaleness_));
+    body.set_priority(read.priority_);
+    body.set_time_left(micros(read.timeLeft_));
+    if (read.lastCommit_) {
+        body.set_commit_term(read.lastCommit_->term_.value());
+        body.set_commit_position(read.lastCommit_->position_.value());
+    }
+    for (const auto &[name, value] : read.values_) {
+        v1::SessionValue &entry = *body.add_values();
+        entry.set_name(name);
+        entry.set_value(value);
+    }
+    body.set_id(read.statement_.id_);
+    body.set_kind(read.statement_.kind_ == StatementKind::Execute ? v1::ForwardedRead::EXECUTE : v1::ForwardedRead::READ);
+    body.set_text(read.statement_.text_);
+    body.set_name(read.statement_.name_);
+    body.set_arguments(read.statement_.value_);
+    body.set_shape(read.shape_);
+    return out.SerializeAsString();
+}
+
+std::string encodeForwardedReadResult(const ForwardedReadResult &result)
+{
+    constexpr std::array outcomes{
+        v1::ForwardedReadResult::RUNNING, v1::ForwardedReadResult::ANSWERED, v1::ForwardedReadResult::NOT_SERVED, v1::ForwardedReadResult::TOO_LARGE};
+    v1::Beat out;
+    out.set_incarnation(result.from_.value());
+    v1::ForwardedReadResult &body = *out.mutable_forwarded_read_result();
+    body.set_to(result.to_.value());
+    body.set_number(result.number_);
+    body.set_outcome(outcomes.at(static_cast<std::size_t>(result.outcome_)));
+    for (const std::string &row : result.reply_.rows_) {
+        body.add_rows(row);
+    }
+    const auto code = std::ranges::find(replyCodes, result.reply_.code_);
+    body.set_code(static_cast<std::uint32_t>(std::distance(replyCodes.begin(), code)));
+    body.set_receipt(result.reply_.receipt_);
+    body.set_text(result.reply_.text_);
+    if (result.reply_.position_) {
+        body.set_term(result.reply_.position_->term_.value());
+        body.set_position(result.reply_.position_->position_.value());
+    }
+    return out.SerializeAsString();
+}
+
 std::optional<VmDatagram> decodeDatagram(std::string_view datagram)
 {
     v1::Beat in;
     const bool complete = in.ParseFromArray(datagram.data(), static_cast<int>(datagram.size()));
-    if (!complete || in.incarnation() == 0) {
+    const bool isForwarded = in.has_forwarded_read() || in.has_forwarded_read_result();
+    if (!complete || in.incarnation() == 0 || (isForwarded && datagram.size() > maxForwardedBytes)) {
         return std::nullopt;
     }
     if (in.has_admission_grant()) {
         return decodeAdmissionGrant(in);
     }
+    if (in.has_forwarded_read_result()) {
+        return asDatagram(decodeForwardedReadResult(in));
+    }
     if (in.name().empty() || in.address().empty()) {
         return std::nullopt;
     }
+    if (in.has_forwarded_read()) {
+        return asDatagram(decodeForwardedRead(in));
+    }
     return in.has_admission_request() ? VmDatagram(decodeAdmissionRequest(in)) : VmDatagram(decodeHeartbeat(in));
 }
 
--- a/src/WireHeartbeat.h
+++ b/src/WireHeartbeat.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines the datagram encoding of heartbeats between VMs, and of requests and grants of permits.
+ * Defines the datagram encoding of heartbeats between VMs, of requests and grants of permits, and of forwarded reads and their results.
  */
 #pragma once
 
@@ -18,8 +18,12 @@
 std::string encodeAdmissionRequest(const AdmissionRequest &request);
 /** Encodes \p grant as a datagram. */
 std::string encodeAdmissionGrant(const AdmissionGrant &grant);
+/** Encodes \p read as a datagram. */
+std::string encodeForwardedRead(const ForwardedRead &read);
+/** Encodes \p result as a datagram. */
+std::string encodeForwardedReadResult(const ForwardedReadResult &result);
 
-using VmDatagram = std::variant<VmHeartbeat, AdmissionRequest, AdmissionGrant>;
+using VmDatagram = std::variant<VmHeartbeat, AdmissionRequest, AdmissionGrant, ForwardedRead, ForwardedReadResult>;
 /** Decodes a datagram. Returns nothing if it is malformed. */
 std::optional<VmDatagram> decodeDatagram(std::string_view datagram);
 
--- a/test/support/SessionWorld.cpp
+++ b/test/support/SessionWorld.cpp
@@ -270,6 +270,8 @@
         [&](const SendHeartbeat &body) { sendHeartbeat(vm, body); },
         [&](const SendAdmissionRequest &body) { sendDatagram(vm, body.address_, body.request_); },
         [&](const SendAdmissionGrant &body) { sendDatagram(vm, body.address_, body.grant_); },
+        [&](const SendForwardedRead &body) { sendDatagram(vm, body.address_, body.read_); },
+        [&](const SendForwardedReadResult &body) { sendDatagram(vm, body.address_, body.result_); },
         [&](const CallStore &body) { body.call_.source_.peer_.empty() ? callStore(vm, body.call_) : callMirror(vm, body.call_); },
         [&](const CallPromotion &body) { callPromotion(vm, body); },
         [&](const SetReady &body) { vms_[vm].ready_ = body.ready_; },
@@ -287,11 +289,19 @@
 void SessionWorld::sendDatagram(unsigned vm, const std::string &address, const SessionEvent &event)
 {
     const unsigned to = static_cast<unsigned>(std::stoul(address));
-    schedule(now_ + config_.networkDelay_, [this, vm, to, event] {
-        if (!vmCuts_.contains(std::minmax(vm, to))) {
-            deliverEvent(to, event);
-        }
-    });
+    const std::vector<Duration> copies = datagramFault_ ? datagramFault_(vm, to, event) : std::vector<Duration>{Duration(0)};
+    for (const Duration delay : copies) {
+        schedule(now_ + config_.networkDelay_ + delay, [this, vm, to, event] {
+            if (!vmCuts_.contains(std::minmax(vm, to))) {
+                deliverEvent(to, event);
+            }
+        });
+    }
+}
+
+void SessionWorld::setDatagramFault(DatagramFault fault)
+{
+    datagramFault_ = std::move(fault);
 }
 
 void SessionWorld::cutVmFromMember(unsigned vm, unsigned member, bool cut)
@@ -363,6 +373,11 @@
     return groups_.front();
 }
 
+std::uint64_t SessionWorld::openings() const
+{
+    return openings_;
+}
+
 bool SessionWorld::ready(unsigned vm) const
 {
     return vms_[vm].ready_;
--- a/test/support/SessionWorld.h
+++ b/test/support/SessionWorld.h
@@ -120,6 +120,9 @@
     /** Sets whether cuts between VMs and members reset new connections from now on; otherwise packets are lost. */
     void cutsReset(bool reset);
     void cutVms(unsigned a, unsigned b, bool cut);
+    /** Returns the additional delay of each copy of a datagram that is delivered; no copies: it is lost. */
+    using DatagramFault = std::function<std::vector<Duration>(unsigned from, unsigned to, const SessionEvent &event)>;
+    void setDatagramFault(DatagramFault fault);
     void cutVmFromStore(unsigned vm, bool cut);
     void storeDown(bool down);
     /** Sets whether the store executes writes but loses their answers from now on. */
@@ -163,6 +166,8 @@
     /** Number of heartbeats sent by all VMs, and of calls to the store by kind, since the start. */
     [[nodiscard]] std::uint64_t heartbeats() const;
     [[nodiscard]] const std::map<std::string, std::uint64_t> &storeCalls() const;
+    /** Number of connections that VMs tried to open for statements of organisations, since the start. */
+    [[nodiscard]] std::uint64_t openings() const;
     [[nodiscard]] bool ready(unsigned vm) const;
     [[nodiscard]] bool runs(unsigned vm) const;
     /** Returns the VM that leads the group, if there is one. */
@@ -338,6 +343,8 @@
     std::vector<std::string> story_;
     std::string logText_;
     BeforeEvent beforeEvent_;
+    DatagramFault datagramFault_;
+    std::uint64_t openings_ = 0; ///< Connection attempts for organisations.
 };
 
 } // namespace Figward::Testing
--- a/test/support/SessionWorldMembers.cpp
+++ b/test/support/SessionWorldMembers.cpp
@@ -25,6 +25,7 @@
 void SessionWorld::openConnection(unsigned vm, const OpenConnection &effect)
 {
     const unsigned member = numberOf(effect.member_);
+    openings_ += effect.organisation_ == OrganisationId() ? 0 : 1;
     vms_[vm].connections_[effect.connection_] = member;
     vms_[vm].connectionOrganisations_[effect.connection_] = effect.organisation_;
     const std::uint64_t incarnation = vms_[vm].incarnation_;
