A statement does not open a second connection while its first one opens, where reads are forwarded

The idle time was derived from the rate at which the holder runs reads, so that the busiest holders kept connections for the shortest time.

Change: a statement waits for its own opening for up to 100 ms. The use rate counts the statements of a VM's clients, wherever they run.

--- a/src/MemberConnections.cpp
+++ b/src/MemberConnections.cpp
@@ -296,12 +296,14 @@
     return member.consecutiveTimeouts_ > 0 || member.unreachable_;
 }
 
-void openStatementConnection(ProxyState &state, MemberState &member, const OrganisationId &organisation, Time now, Effects &out)
+ConnectionId openStatementConnection(ProxyState &state, MemberState &member, const OrganisationId &organisation, Time now, Effects &out)
 {
     MemberConnection connection = newConnection(state, member, now);
     connection.organisation_ = organisation;
-    member.connections_.insert(connection.id_);
+    const ConnectionId id = connection.id_;
+    member.connections_.insert(id);
     open(state, member, std::move(connection), out);
+    return id;
 }
 
 bool closeOldestOfOthers(ProxyState &state, const MemberState &member, const OrganisationId &organisation, Effects &out)
--- a/src/MemberConnections.h
+++ b/src/MemberConnections.h
@@ -12,7 +12,7 @@
 struct ConnectionLost;
 
 /** Opens another connection to \p member for statements of \p organisation. */
-void openStatementConnection(ProxyState &state, MemberState &member, const OrganisationId &organisation, Time now, Effects &out);
+ConnectionId openStatementConnection(ProxyState &state, MemberState &member, const OrganisationId &organisation, Time now, Effects &out);
 /** Closes the connection to \p member that has been idle longest among those for other organisations than \p organisation. Returns false if there is none. */
 bool closeOldestOfOthers(ProxyState &state, const MemberState &member, const OrganisationId &organisation, Effects &out);
 /** Handles the completed opening of a connection. */
--- a/src/ReadForwarding.cpp
+++ b/src/ReadForwarding.cpp
@@ -133,6 +133,29 @@
     state.timers_.arm(now + answerTimeout, TimerTag{TimerTopic::ForwardedRead, {}, session.key_.value()});
 }
 
+/**
+ * Records the forwarded read as a use of a member that may run it; the one that does is not known here. The idle time of connections assumes that all VMs use a
+ * member as often as this one. That holds for the statements of their clients, which are spread over all VMs, but not for those that holders run.
+ */
+void recordForwardedUse(ProxyState &state, const ClientSession &session, Time now)
+{
+    const SessionGroup *group = findGroup(state, session.route_.service_);
+    if (group == nullptr) {
+        return;
+    }
+    const bool primary = needsPrimary(session, *session.run_);
+    std::vector<MemberState *> members;
+    for (const MemberId &id : group->members_) {
+        MemberState *member = findMember(state, id);
+        if (member != nullptr && (group->authority_.primary_ == id) == primary) {
+            members.push_back(member);
+        }
+    }
+    if (!members.empty()) {
+        recordUse(members[session.run_->forward_->number_ % members.size()]->use_, now);
+    }
+}
+
 /** Queues the read for a member of this VM. */
 void runHere(ProxyState &state, ClientSession &session)
 {
@@ -283,6 +306,7 @@
     session.run_->placedAt_ = now;
     sessions.forwarding_.sent_[session.run_->forward_->number_] = session.key_;
     ++sessions.forwarding_.totals_.forwarded_;
+    recordForwardedUse(state, session, now);
     sendRead(state, session, now, out);
     return true;
 }
--- a/src/SessionState.h
+++ b/src/SessionState.h
@@ -60,6 +60,7 @@
     unsigned attempts_ = 0;
     std::set<MemberId> excludedMembers_; ///< Members that refused it or did not answer.
     std::optional<LogPoint> after_; ///< Position that the member's log must include.
+    std::optional<ConnectionId> opening_; ///< Connection that was last opened for it.
     std::optional<PendingForward> forward_; ///< Present while another VM runs the read.
     bool runsHere_ = false; ///< It is not forwarded: another VM forwarded it here, or its connection holder did not serve it.
 };
--- a/src/StatementDispatch.cpp
+++ b/src/StatementDispatch.cpp
@@ -29,6 +29,9 @@
 /** Retry delay for clients in a zone that is cut off: by then the platform routes new connections to other zones, since it polls readiness once a second. */
 constexpr Duration cutOffRetryDelay = std::chrono::milliseconds(2000);
 
+/** Time within which a connection usually opens: it takes 12 ms of a slot, behind the statements that wait at the member. */
+constexpr Duration expectedOpenTime = std::chrono::milliseconds(100);
+
 /**
  * Whether the member accepts new statements. A leaving member stops a few seconds after it announces this, and statements that still run there are aborted. A
  * leaving replica gets no new statements, since other members can serve them. A leaving primary gets them until it is replaced, which takes about a second, but
@@ -189,7 +192,7 @@
  * Opens a connection for the statement, unless a suitable one is already being opened. At the limit, an idle connection of another organisation is closed
  * first.
  */
-void openConnectionFor(ProxyState &state, const ClientSession &session, MemberState &member, Time now, Effects &out)
+void openConnectionFor(ProxyState &state, ClientSession &session, MemberState &member, Time now, Effects &out)
 {
     const auto isOpeningForSame = [&](ConnectionId id) {
         return findConnection(state, id)->use_ == MemberConnectionUse::Opening && isForOrganisation(state, id, session);
@@ -201,7 +204,19 @@
     if (member.connections_.size() >= connectionsAllowed(plan, now - session.run_->arrived_)) {
         closeOldestOfOthers(state, member, session.organisation_, out);
     }
-    openStatementConnection(state, member, session.organisation_, now, out);
+    session.run_->opening_ = openStatementConnection(state, member, session.organisation_, now, out);
+}
+
+/**
+ * Whether the connection that was opened for the statement is expected to open soon. Where reads are forwarded, each connection takes up one that an
+ * organisation could keep, so a statement does not open a second one at another member meanwhile.
+ */
+bool awaitsOpening(ProxyState &state, const ClientSession &session, Time now)
+{
+    const std::optional<ConnectionId> &opening = session.run_->opening_;
+    const MemberConnection *connection = opening ? findConnection(state, *opening) : nullptr;
+    return connection != nullptr && connection->use_ == MemberConnectionUse::Opening && now - connection->sentAt_ < expectedOpenTime
+           && forwardsReads(*state.sessions_, session.route_.service_);
 }
 
 /** Forwards the statement to another VM, or refuses a read of another VM that this one cannot serve. Returns true if this VM does not run it. */
@@ -235,7 +250,7 @@
         return false;
     }
     const Placement placement = placeStatement(candidates);
-    if (placement.open_) {
+    if (placement.open_ && !awaitsOpening(state, session, now)) {
         openConnectionFor(state, session, *findMember(state, *placement.open_), now, out);
     }
     if (!placement.run_) {
@@ -244,7 +259,9 @@
     MemberState &member = *findMember(state, *placement.run_);
     std::erase(group.waiting_, session.key_);
     recordStart(group.queue_, now);
-    recordUse(member.use_, now);
+    if (!session.sender_) { // The VM of the client has recorded it.
+        recordUse(member.use_, now);
+    }
     startStatement(state, session, *findConnection(state, takeIdle(state, member, session)), now, out);
     return false;
 }
