--- a/src/SessionPolicies.h
+++ b/src/SessionPolicies.h
@@ -23,6 +23,7 @@
     bool poolsQuota_ = true; ///< One VM per zone enforces an organisation's rate for all VMs; if false, each VM has an equal share. See OrganisationQuota.h.
     bool admitsUrgentFirst_ = true; ///< Reserves quota of an organisation that is short of it for its most urgent operations; see PermitPriority.h.
     bool deprioritisesPrimary_ = true; ///< Slightly prefers replicas for reads, to leave the primary capacity for writes; see StatementPlacement.h.
+    bool forwardsReads_ = true; ///< Forwards reads to the VM that keeps connections for their organisation; see ReadForwarding.h.
     bool operator==(const SessionPolicies &) const = default;
 };
 
