Share the members of a group fairly between organisations

Waiting statements were ordered by priority and deadline only, so one organisation with many statements delayed those of all others at the VM.

StatementQueue replaces the sorted list of sessions: within a priority, organisations take turns by weighted start-time fair queueing (weight: configured rate; cost: observed time at the member, plus the opening of a connection if none is idle), and by deadline within an organisation. Statements inside transactions, which do not wait, are charged as well. The policy share_fairly switches this off.

Idle connections are indexed by organisation, so that candidates and connections are found without looking up each connection.

--- a/src/GroupInterest.cpp
+++ b/src/GroupInterest.cpp
@@ -177,7 +177,7 @@
     for (auto &[id, group] : sessions.groups_) {
         const bool isUnled = mayLead && !group.leader_ && !group.members_.empty() && !isLedElsewhere(sessions, group, now);
         isAnyUnled = isAnyUnled || isUnled;
-        if (group.leader_ || !group.waiting_.empty() || isFollowed(sessions, group, now)) {
+        if (group.leader_ || countWaiting(group.waiting_) > 0 || isFollowed(sessions, group, now)) {
             sessions.trackedGroups_.insert(id);
         } else if (isUnled) {
             reviewLeadership(state, group, now, out);
--- a/src/MemberConnections.cpp
+++ b/src/MemberConnections.cpp
@@ -47,7 +47,7 @@
     connection.idleSince_ = now;
     MemberState *member = findMember(state, connection.member_);
     if (member != nullptr && !connection.isControl_) {
-        member->idle_.push_back(connection.id_);
+        addIdle(member->idle_, connection.id_, connection.organisation_);
     }
 }
 
@@ -81,7 +81,7 @@
                                {"failures", absl::StrCat(member.openFailures_)},
                                {"for", isControl ? "reports" : "statements"},
                                {"held", absl::StrCat(member.connections_.size())},
-                               {"idle", absl::StrCat(member.idle_.size())},
+                               {"idle", absl::StrCat(member.idle_.all_.size())},
                                {"reports", member.control_ ? "1" : "0"},
                                {"allowed", known ? absl::StrCat(planFor(sessions, member, now).maxOpen_) : "-"},
                                {"vms", absl::StrCat(sessions.entryVms_)}}});
@@ -150,11 +150,6 @@
     }
 }
 
-void removeFrom(std::vector<ConnectionId> &idle, ConnectionId connection)
-{
-    std::erase(idle, connection);
-}
-
 void removeConnection(ProxyState &state, ConnectionId id)
 {
     const auto found = state.sessions_->connections_.find(id);
@@ -163,7 +158,7 @@
     }
     if (MemberState *member = findMember(state, found->second.member_)) {
         member->connections_.erase(id);
-        removeFrom(member->idle_, id);
+        removeIdle(member->idle_, id, found->second.organisation_);
         if (member->control_ == id) {
             member->control_.reset();
         }
@@ -221,10 +216,10 @@
     if (member.control_) {
         return findConnection(state, *member.control_);
     }
-    if (!member.idle_.empty()) {
-        const ConnectionId id = member.idle_.back();
-        member.idle_.pop_back();
-        return findConnection(state, id);
+    if (!member.idle_.all_.empty()) {
+        MemberConnection *connection = findConnection(state, member.idle_.all_.back());
+        removeIdle(member.idle_, connection->id_, connection->organisation_);
+        return connection;
     }
     if (now >= member.openAfter_) {
         openControlConnection(state, member, now, out);
@@ -276,16 +271,16 @@
 /** Closes one connection above the idle limit, and the control connection, if their idle timeouts have expired. */
 void closeSurplus(ProxyState &state, MemberState &member, Time now, Effects &out)
 {
-    if (member.idle_.empty() && !member.control_) {
+    if (member.idle_.all_.empty() && !member.control_) {
         return;
     }
     const ConnectionPlan plan = planFor(*state.sessions_, member, now);
     closeIdleControl(state, member, plan.temporary_ ? scarceControlIdleTimeout : controlIdleTimeout, now, out);
-    if (member.idle_.empty()) {
+    if (member.idle_.all_.empty()) {
         return;
     }
-    if (member.connections_.size() > plan.maxIdle_ && now - findConnection(state, member.idle_.front())->idleSince_ > plan.idleTimeout_) {
-        closeMemberConnection(state, member.idle_.front(), out);
+    if (member.connections_.size() > plan.maxIdle_ && now - findConnection(state, member.idle_.all_.front())->idleSince_ > plan.idleTimeout_) {
+        closeMemberConnection(state, member.idle_.all_.front(), out);
     }
 }
 
@@ -306,9 +301,10 @@
 
 bool closeOldestOfOthers(ProxyState &state, const MemberState &member, const OrganisationId &organisation, Effects &out)
 {
-    const auto isOfAnother = [&](ConnectionId id) { return findConnection(state, id)->organisation_ != organisation; };
-    const auto oldest = std::ranges::find_if(member.idle_, isOfAnother); // The connection that has been idle longest comes first.
-    if (oldest == member.idle_.end()) {
+    const std::vector<ConnectionId> &own = idleOf(member.idle_, organisation);
+    const auto isOfAnother = [&](ConnectionId id) { return std::ranges::find(own, id) == own.end(); };
+    const auto oldest = std::ranges::find_if(member.idle_.all_, isOfAnother); // The connection that has been idle longest comes first.
+    if (oldest == member.idle_.all_.end()) {
         return false;
     }
     closeMemberConnection(state, *oldest, out);
--- a/src/MemberDirectoryUpdate.cpp
+++ b/src/MemberDirectoryUpdate.cpp
@@ -52,7 +52,7 @@
 /** Closes the member's idle connections; connections with statements in flight close when those end. */
 void closeIdle(ProxyState &state, MemberState &member, Effects &out)
 {
-    const std::vector<ConnectionId> idle = member.idle_;
+    const std::vector<ConnectionId> idle = member.idle_.all_;
     for (const ConnectionId id : idle) {
         closeMemberConnection(state, id, out);
     }
--- a/src/SessionMetrics.cpp
+++ b/src/SessionMetrics.cpp
@@ -144,7 +144,7 @@
     sessions_.Set(static_cast<double>(state.sessions_.size()));
     std::size_t waiting = 0;
     for (const auto &[id, group] : state.groups_) {
-        waiting += group.waiting_.size();
+        waiting += countWaiting(group.waiting_);
     }
     waiting_.Set(static_cast<double>(waiting));
     ready_.Set(state.ready_.value_or(false) ? 1 : 0);
@@ -164,8 +164,8 @@
                 entry->second[idle] = &memberConnections_.Add(all);
             }
         }
-        entry->second[0]->Set(static_cast<double>(member.connections_.size() - member.idle_.size()));
-        entry->second[1]->Set(static_cast<double>(member.idle_.size()));
+        entry->second[0]->Set(static_cast<double>(member.connections_.size() - member.idle_.all_.size()));
+        entry->second[1]->Set(static_cast<double>(member.idle_.all_.size()));
     }
     std::erase_if(members_, [&](const auto &entry) {
         const bool gone = !state.members_.contains(entry.first);
--- a/src/SessionService.cpp
+++ b/src/SessionService.cpp
@@ -242,7 +242,7 @@
 {
     forEachReviewedGroup(*state.sessions_, [&](SessionGroup &group) {
         const bool wasWaiting = group.queue_.waitingSince_.has_value();
-        if ((wasWaiting || !group.waiting_.empty()) && state.sessions_->configuration_) {
+        if ((wasWaiting || countWaiting(group.waiting_) > 0) && state.sessions_->configuration_) {
             dispatchStatements(state, group, now, out);
         }
         reviewDeferredRevocation(state, group, now);
--- a/src/SessionState.h
+++ b/src/SessionState.h
@@ -7,11 +7,13 @@
 #include "ConfigurationDelay.h"
 #include "ConnectionPlan.h"
 #include "Delegates.h"
+#include "IdleConnections.h"
 #include "PositionSamples.h"
 #include "PrimaryAuthority.h"
 #include "SessionEvents.h"
 #include "SessionPolicies.h"
 #include "SharedCheck.h"
+#include "StatementQueue.h"
 #include "TokenBucket.h"
 #include "Units.h"
 #include "WaitForecast.h"
@@ -113,7 +115,7 @@
     std::optional<Time> missingSince_; ///< Time since which the directory no longer lists it.
     std::optional<Time> leavingSince_; ///< Time since which it announces that it leaves.
     std::set<ConnectionId> connections_; ///< All connections except the one opened for control requests.
-    std::vector<ConnectionId> idle_;
+    IdleConnections idle_;
     std::optional<ConnectionId> control_;
     UseRate use_; ///< Rate of statements of this VM.
     std::optional<Time> lastAnsweredAt_; ///< Send time of the last request that it answered.
@@ -204,7 +206,8 @@
     std::uint64_t resigned_ = 0; ///< Highest generation whose leader has resigned; its claim has ended even if the store still contains it.
     Time claimAfter_; ///< Earliest time at which this VM may claim leadership.
     std::optional<CallId> claimWrite_;
-    std::vector<SessionKey> waiting_; ///< Sessions whose statements wait for a connection, most urgent first.
+    StatementQueue waiting_; ///< Sessions whose statements wait for a connection.
+    StatementCosts costs_; ///< Observed only where the configuration has organisations.
     bool heldAuthority_ = false; ///< Whether authority was held when last checked and logged.
     Time authorityLostAt_; ///< Time when authority was last lost; not set before the first loss.
     std::uint64_t heldEpoch_ = 0; ///< Epoch of the authority held last; zero before the first. Authority of a later epoch follows a replacement.
--- a/src/SessionStatements.cpp
+++ b/src/SessionStatements.cpp
@@ -64,6 +64,7 @@
     session.run_->attempts_ = 1;
     session.run_->member_ = connection->member_;
     session.run_->placedAt_ = now;
+    chargeTransactionStatement(state, session);
     connection->steps_ = stepsFor(session, *connection);
     sendNextStep(state, *connection, now, out);
 }
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -49,6 +49,7 @@
     policy("prefer_own_zone", "Members in the VM's own availability zone are preferred."),
     policy("spare_primary", "Reads leave some capacity of the primary free."),
     policy("pool_quotas", "One VM of each availability zone enforces an organisation's rate limit for all; otherwise each VM enforces an equal share."),
+    policy("share_fairly", "Waiting statements of one priority share the members by the configured rates of their organisations."),
 };
 
 constexpr std::array sessionsFields{
@@ -131,6 +132,7 @@
     policies.prefersOwnZone_ = isEnabled("prefer_own_zone");
     policies.deprioritisesPrimary_ = isEnabled("spare_primary");
     policies.poolsQuota_ = isEnabled("pool_quotas");
+    policies.sharesFairly_ = isEnabled("share_fairly");
     return policies;
 }
 
--- a/src/StatementAnswers.cpp
+++ b/src/StatementAnswers.cpp
@@ -18,7 +18,10 @@
 void completeStatement(ProxyState &state, ClientSession &session, MemberConnection &connection, const SessionReply &reply, Time now, Effects &out)
 {
     const StatementRun &run = *session.run_;
-    const SessionGroup &group = *findGroup(state, session.route_.service_);
+    SessionGroup &group = *findGroup(state, session.route_.service_);
+    if (state.sessions_->configuration_ && state.sessions_->configuration_->organisations_) {
+        recordWork(group.costs_, session.database_, now - run.sentAt_);
+    }
     const bool isValid = !run.usesPrimary_ || holdsAuthority(group.authority_, connection.member_, now);
     const bool changed = changesDatabase(session, run);
     const bool harmless = session.state_ == TransactionState::Open && !changed;
--- a/src/StatementDispatch.cpp
+++ b/src/StatementDispatch.cpp
@@ -71,15 +71,15 @@
             continue;
         }
         PlacementCandidate candidate{.member_ = id};
-        candidate.activeStatements_ = static_cast<unsigned>(member->connections_.size() - member->idle_.size());
+        candidate.activeStatements_ = static_cast<unsigned>(member->connections_.size() - member->idle_.all_.size());
         candidate.sameZone_ = !policies.prefersOwnZone_ || member->entry_.zone_ == state.sessions_->identity_.vm_.zone_;
         candidate.leaving_ = member->entry_.leaving_;
         candidate.primary_ = primary;
         candidate.deprioritised_ = primary && policies.deprioritisesPrimary_;
         candidate.unavailable_ = isUnavailable(*member) || (member->refusedAt_ && now - *member->refusedAt_ < fullAvoidTime);
-        const auto matching = std::ranges::count_if(member->idle_, [&](ConnectionId connection) { return isForOrganisation(state, connection, session); });
+        const std::size_t matching = idleOf(member->idle_, session.organisation_).size();
         candidate.idleConnection_ = matching > 0;
-        const bool hasIdleOfOthers = std::cmp_less(matching, member->idle_.size());
+        const bool hasIdleOfOthers = matching < member->idle_.all_.size();
         const ConnectionPlan plan = planFor(*state.sessions_, *member, now);
         candidate.temporaryConnections_ = plan.temporary_;
         candidate.lagging_ = !primary && position && isLagging(policies, *member, *position, plan.temporary_, now);
@@ -93,14 +93,11 @@
 /** Takes an idle connection of the session's organisation, preferably one with the session's values. There must be such a connection. */
 ConnectionId takeIdle(ProxyState &state, MemberState &member, const ClientSession &session)
 {
-    const auto isUsable = [&](ConnectionId id) { return isForOrganisation(state, id, session); };
-    const auto hasSameValues = [&](ConnectionId id) { return isUsable(id) && findConnection(state, id)->values_ == session.values_; };
-    auto best = std::ranges::find_if(member.idle_.rbegin(), member.idle_.rend(), hasSameValues);
-    if (best == member.idle_.rend()) {
-        best = std::ranges::find_if(member.idle_.rbegin(), member.idle_.rend(), isUsable);
-    }
-    const ConnectionId id = *best;
-    member.idle_.erase(std::next(best).base());
+    const std::vector<ConnectionId> &usable = idleOf(member.idle_, session.organisation_);
+    const auto hasSameValues = [&](ConnectionId id) { return findConnection(state, id)->values_ == session.values_; };
+    const auto best = std::ranges::find_if(usable.rbegin(), usable.rend(), hasSameValues);
+    const ConnectionId id = best == usable.rend() ? usable.back() : *best;
+    removeIdle(member.idle_, id, session.organisation_);
     return id;
 }
 
@@ -221,7 +218,7 @@
         return true;
     }
     MemberState &member = *findMember(state, *placement.run_);
-    std::erase(group.waiting_, session.key_);
+    takeStatement(group.waiting_, session.key_);
     recordStart(group.queue_, now);
     recordUse(member.use_, now);
     startStatement(state, session, *findConnection(state, takeIdle(state, member, session)), now, out);
@@ -248,7 +245,7 @@
 
 void dispatchStatements(ProxyState &state, SessionGroup &group, Time now, Effects &out)
 {
-    const std::vector<SessionKey> waiting = group.waiting_;
+    const std::vector<SessionKey> waiting = startOrder(group.waiting_);
     unsigned ahead = 0;
     for (const SessionKey key : waiting) {
         ClientSession *session = findSession(state, key);
@@ -256,7 +253,7 @@
             ahead += dispatchStatement(state, group, *session, ahead, now, out) ? 1 : 0;
         }
     }
-    recordWaiting(group.queue_, !group.waiting_.empty(), now);
+    recordWaiting(group.queue_, countWaiting(group.waiting_) > 0, now);
 }
 
 } // namespace Figward
--- a/src/StatementOutcome.cpp
+++ b/src/StatementOutcome.cpp
@@ -27,6 +27,44 @@
     out.emplace_back(SessionEffect(AnswerSession{session.key_, std::move(reply)}));
 }
 
+/**
+ * Weight, in operations per second, of an organisation without a configured rate and of clients without a key: that of a large organisation, since an operator
+ * sets no rate for those that must not be limited.
+ */
+constexpr double unlimitedWeight = 100;
+
+double weightOf(const Organisations &organisations, const OrganisationId &organisation)
+{
+    const auto limits = organisations.limits_.find(organisation);
+    return limits == organisations.limits_.end() || limits->second.perSecond_ <= 0 ? unlimitedWeight : limits->second.perSecond_;
+}
+
+/** Whether any member of the group has an idle connection of the organisation. */
+bool hasIdleConnection(ProxyState &state, const SessionGroup &group, const OrganisationId &organisation)
+{
+    return std::ranges::any_of(group.members_, [&](const MemberId &id) {
+        const MemberState *member = findMember(state, id);
+        return member != nullptr && !idleOf(member->idle_, organisation).empty();
+    });
+}
+
+bool sharesByOrganisation(const SessionServiceState &sessions)
+{
+    return sessions.identity_.policies_.sharesFairly_ && sessions.configuration_ && sessions.configuration_->organisations_;
+}
+
+/** The statement as it is queued; \p opens states whether a connection must be opened for it. */
+QueuedStatement queuedStatement(const SessionServiceState &sessions, const SessionGroup &group, const ClientSession &session, bool opens)
+{
+    QueuedStatement statement{.key_ = session.key_, .priority_ = session.route_.priority_, .deadline_ = session.run_->deadline_};
+    if (sharesByOrganisation(sessions)) {
+        statement.organisation_ = session.organisation_;
+        statement.weight_ = weightOf(*sessions.configuration_->organisations_, session.organisation_);
+        statement.cost_ = expectedCost(group.costs_, session.database_, opens);
+    }
+    return statement;
+}
+
 } // namespace
 
 void answerDone(const ClientSession &session, Effects &out)
@@ -61,7 +99,15 @@
 {
     cancelAdmission(*state.sessions_, session);
     if (SessionGroup *group = findGroup(state, session.route_.service_)) {
-        std::erase(group->waiting_, session.key_);
+        removeStatement(group->waiting_, session.key_);
+    }
+}
+
+void chargeTransactionStatement(ProxyState &state, const ClientSession &session)
+{
+    SessionGroup *group = findGroup(state, session.route_.service_);
+    if (group != nullptr && sharesByOrganisation(*state.sessions_)) {
+        chargeStatement(group->waiting_, queuedStatement(*state.sessions_, *group, session, false));
     }
 }
 
@@ -73,12 +119,8 @@
         group->id_ = session.route_.service_;
     }
     state.sessions_->trackedGroups_.insert(group->id_);
-    const auto before = [&](SessionKey key) {
-        const ClientSession *other = findSession(state, key);
-        return other != nullptr && std::pair(other->route_.priority_, other->run_->deadline_) <= std::pair(session.route_.priority_, session.run_->deadline_);
-    };
-    const auto place = std::ranges::find_if_not(group->waiting_, before);
-    group->waiting_.insert(place, session.key_);
+    const bool opens = sharesByOrganisation(*state.sessions_) && !hasIdleConnection(state, *group, session.organisation_);
+    addStatement(group->waiting_, queuedStatement(*state.sessions_, *group, session, opens));
 }
 
 void finishStatement(ProxyState &state, ClientSession &session, SessionReply reply, Time now, Effects &out)
--- a/src/StatementOutcome.h
+++ b/src/StatementOutcome.h
@@ -26,8 +26,10 @@
 /** Resets the transaction state of \p session. */
 void endTransaction(ClientSession &session);
 
-/** Queues the statement of \p session for a connection, ordered by priority of its route and then by deadline. */
+/** Queues the statement of \p session for a connection; see StatementQueue.h for the order. */
 void enqueueStatement(ProxyState &state, ClientSession &session);
+/** Charges the organisation of \p session for a statement that runs on the connection of its transaction and so does not wait. */
+void chargeTransactionStatement(ProxyState &state, const ClientSession &session);
 /** Removes the statement of \p session from the queues for permits and connections, if it is in one. */
 void dequeueStatement(ProxyState &state, const ClientSession &session);
 
--- a/test/support/SessionLoad.cpp
+++ b/test/support/SessionLoad.cpp
@@ -46,6 +46,12 @@
     return counts_.at(database);
 }
 
+LoadCount SessionLoad::countOfKey(const std::string &key) const
+{
+    const auto found = countsByKey_.find(key);
+    return found == countsByKey_.end() ? LoadCount{} : found->second;
+}
+
 double SessionLoad::uniform()
 {
     return std::uniform_real_distribution<double>()(random_);
@@ -81,18 +87,19 @@
             operation.statements_.push_back(work);
         }
         ++counts_[kind.database_].asked_;
+        ++countsByKey_[kind.key_].asked_;
         begin(std::move(operation));
         scheduleArrival(route, end);
     });
 }
 
-std::size_t SessionLoad::sessionAtRandomVm(const std::string &database)
+std::size_t SessionLoad::sessionAtRandomVm(const LoadRoute &route)
 {
     unsigned vm = static_cast<unsigned>(random_() % vms_);
     for (unsigned tried = 0; tried < vms_ && !world_.runs(vm); ++tried) {
         vm = (vm + 1) % vms_;
     }
-    std::vector<std::size_t> &free = idleSessions_[{vm, database}];
+    std::vector<std::size_t> &free = idleSessions_[{vm, route.database_, route.key_}];
     while (!free.empty()) {
         const std::size_t client = free.back();
         free.pop_back();
@@ -100,12 +107,12 @@
             return client;
         }
     }
-    return world_.open(vm, database);
+    return world_.open(vm, route.database_, route.key_);
 }
 
 void SessionLoad::begin(Operation operation)
 {
-    const std::size_t client = sessionAtRandomVm(routes_[operation.route_].database_);
+    const std::size_t client = sessionAtRandomVm(routes_[operation.route_]);
     inProgress_[client] = std::move(operation);
     sendNext(client);
 }
@@ -145,10 +152,11 @@
         return;
     }
     const LoadRoute &route = routes_[operation.route_];
-    LoadCount &count = counts_[route.database_];
     const bool inAim = world_.now() - operation.began_ - operation.pauses_ <= route.aim_;
-    ++(inAim ? count.inAim_ : count.late_);
-    idleSessions_[{world_.client(client).vm_, route.database_}].push_back(client);
+    for (LoadCount *count : {&counts_[route.database_], &countsByKey_[route.key_]}) {
+        ++(inAim ? count->inAim_ : count->late_);
+    }
+    idleSessions_[{world_.client(client).vm_, route.database_, route.key_}].push_back(client);
     inProgress_.erase(found);
 }
 
--- a/test/support/SessionLoad.h
+++ b/test/support/SessionLoad.h
@@ -20,6 +20,7 @@
     double transactions_ = 0; ///< Share of the operations that are transactions of a few statements.
     Duration aim_{}; ///< Target latency from the first attempt to the last answer, without the client's own pauses.
     Duration budget_{}; ///< Time after which the client gives up.
+    std::string key_{}; ///< API key that the clients give; empty: none.
 };
 
 /** Number of operations of one route by result. */
@@ -42,6 +43,8 @@
      */
     void run(Duration duration);
     [[nodiscard]] const LoadCount &count(const std::string &database) const;
+    /** Returns the operations of the clients with this key on all databases. */
+    [[nodiscard]] LoadCount countOfKey(const std::string &key) const;
 
 private:
     struct Operation
@@ -60,7 +63,7 @@
     Duration exponential(double mean);
     Duration workOf(const LoadRoute &route);
     void scheduleArrival(std::size_t route, Time end);
-    std::size_t sessionAtRandomVm(const std::string &database);
+    std::size_t sessionAtRandomVm(const LoadRoute &route);
     void begin(Operation operation);
     void sendNext(std::size_t client);
     void onAnswer(std::size_t client, const ClientAnswer &answer);
@@ -71,8 +74,10 @@
     unsigned vms_;
     std::mt19937_64 random_;
     std::map<std::size_t, Operation> inProgress_; ///< Keyed by client.
-    std::map<std::pair<unsigned, std::string>, std::vector<std::size_t>> idleSessions_; ///< Sessions without an operation, keyed by VM and database.
+    /** Sessions without an operation, keyed by VM, database and key. */
+    std::map<std::tuple<unsigned, std::string, std::string>, std::vector<std::size_t>> idleSessions_;
     std::map<std::string, LoadCount> counts_;
+    std::map<std::string, LoadCount> countsByKey_;
 };
 
 /**
