--- a/src/SessionPolicies.h
+++ b/src/SessionPolicies.h
@@ -24,6 +24,7 @@
     bool admitsUrgentFirst_ = true; ///< Reserves quota of an organisation that is short of it for its most urgent operations; see PermitPriority.h.
     bool deprioritisesPrimary_ = true; ///< Slightly prefers replicas for reads, to leave the primary capacity for writes; see StatementPlacement.h.
     bool forwardsReads_ = true; ///< Forwards reads to the VM that keeps connections for their organisation; see ReadForwarding.h.
+    bool sharesFairly_ = true; ///< Shares the members between organisations by their configured rates; see StatementQueue.h.
     bool operator==(const SessionPolicies &) const = default;
 };
 
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -50,6 +50,7 @@
     policy("spare_primary", "Reads leave some capacity of the primary free."),
     policy("pool_quotas", "One VM of each availability zone enforces an organisation's rate limit for all; otherwise each VM enforces an equal share."),
     policy("forward_reads", "Where connections are scarce, a read is forwarded to the VM of the zone that keeps connections for its organisation."),
+    policy("share_fairly", "Waiting statements of one priority share the members by the configured rates of their organisations."),
 };
 
 constexpr std::array sessionsFields{
@@ -133,6 +134,7 @@
     policies.deprioritisesPrimary_ = isEnabled("spare_primary");
     policies.poolsQuota_ = isEnabled("pool_quotas");
     policies.forwardsReads_ = isEnabled("forward_reads");
+    policies.sharesFairly_ = isEnabled("share_fairly");
     return policies;
 }
 
