--- a/src/GroupAdvice.cpp
+++ b/src/GroupAdvice.cpp
@@ -1,5 +1,6 @@
 #include "GroupAdvice.h"
 
+#include "MemberEjections.h"
 #include "ProxyState.h"
 #include "SessionLookup.h"
 
@@ -51,7 +52,7 @@
     }
 }
 
-void reviewAdvice(ProxyState &state, SessionGroup &group, Time now, Effects & /*out*/)
+void reviewAdvice(ProxyState &state, SessionGroup &group, Time now, Effects &out)
 {
     if (!group.leader_ || now < group.leader_->adviceReviewAt_) {
         return;
@@ -60,8 +61,10 @@
     leader.adviceReviewAt_ = now + adviceInterval;
     const EntryVm &self = state.sessions_->identity_.vm_;
     mergeObservations(leader.reports_, self.name_, self.incarnation_, reportOf(state, group, now), now);
+    const GroupObservations increases = takeIncreases(leader.reports_, now);
     GroupAdvice advice;
     advice.lagging_ = laggingMembers(leader.reports_, now);
+    advice.ejected_ = reviewEjections(state, group, increases.members_, now, out);
     receiveAdvice(state, group, advice, now);
 }
 
--- a/src/LogEvents.h
+++ b/src/LogEvents.h
@@ -61,6 +61,8 @@
     AuthorityRegained = 417,
     PrimaryLostLog = 418,
     MembersChanged = 419,
+    MemberEjected = 420,
+    MemberReturned = 421,
     RequestUnknown = 501,
     ConnectionOverdue = 502,
     StatementSlow = 503,
--- a/src/MemberConnections.cpp
+++ b/src/MemberConnections.cpp
@@ -2,6 +2,7 @@
 
 #include "ConnectionSharing.h"
 #include "Event.h"
+#include "MemberEjections.h"
 #include "ProxyState.h"
 #include "SessionLookup.h"
 #include "StatementAnswers.h"
@@ -349,6 +350,8 @@
         if (lost.end_ == ConnectionEnd::Refused) {
             // The member is full: closing an idle connection of another organisation makes room for the next attempt.
             closeOldestOfOthers(state, *member, connection.organisation_, out);
+        } else if (!connection.isControl_) {
+            countFailedOpening(state, *member, now);
         }
     }
     if (member != nullptr && connection.use_ != MemberConnectionUse::Opening) {
@@ -463,6 +466,7 @@
     for (const MemberId &id : connected) {
         MemberState *member = findMember(state, id);
         if (member != nullptr && state.sessions_->configuration_) {
+            closeEjected(state, *member, now, out);
             closeSurplus(state, *member, now, out);
         }
     }
@@ -485,6 +489,9 @@
             ++member->consecutiveTimeouts_;
             if (connection.use_ == MemberConnectionUse::Opening) {
                 recordOpenFailure(state, *member, ConnectionEnd::Closed, now);
+                if (!connection.isControl_) {
+                    countFailedOpening(state, *member, now);
+                }
             }
         }
         closeMemberConnection(state, id, out);
--- a/src/SessionPolicies.h
+++ b/src/SessionPolicies.h
@@ -22,6 +22,7 @@
     bool prefersOwnZone_ = true; ///< Prefers members of the VM's own availability zone; see StatementPlacement.h.
     bool poolsQuota_ = true; ///< One VM per zone enforces an organisation's rate for all VMs; if false, each VM has an equal share. See OrganisationQuota.h.
     bool deprioritisesPrimary_ = true; ///< Slightly prefers replicas for reads, to leave the primary capacity for writes; see StatementPlacement.h.
+    bool ejectsOutliers_ = true; ///< Avoids members that fail or delay more statements than the others of their group; see OutlierEjection.h.
     bool operator==(const SessionPolicies &) const = default;
 };
 
--- a/src/SessionState.h
+++ b/src/SessionState.h
@@ -7,6 +7,7 @@
 #include "ConfigurationDelay.h"
 #include "ConnectionPlan.h"
 #include "Delegates.h"
+#include "OutlierEjection.h"
 #include "PositionSamples.h"
 #include "PrimaryAuthority.h"
 #include "SessionEvents.h"
@@ -50,6 +51,8 @@
     unsigned attempts_ = 0;
     std::set<MemberId> excludedMembers_; ///< Members that refused it or did not answer.
     std::optional<LogPoint> after_; ///< Position that the member's log must include.
+    MemberId failedAt_; ///< Member that answered it with an error, after which it was tried once at another one.
+    std::optional<bool> probes_; ///< Whether it was chosen to probe a member that returns from an ejection; absent while there was none.
 };
 
 /** Session of a client. */
@@ -132,6 +135,7 @@
     bool connectionRefused_ = false; ///< The last connection attempt was refused by its host, so its process is gone.
     bool unreachable_ = false; ///< The last connection attempt failed, for another reason than that the member is full.
     unsigned consecutiveTimeouts_ = 0; ///< Number of timeouts since its last answer.
+    FailureRow failureRow_; ///< Failures of statements that other members may run as well.
 };
 
 /** Steps of the replacement of a primary by the leader. */
@@ -165,6 +169,7 @@
     Time leadSince_;
     ObservationMerge reports_; ///< What all VMs report about the group.
     Time adviceReviewAt_; ///< Earliest time at which the advice is updated.
+    std::optional<OutlierHistory> outliers_; ///< Present after the first update of the advice.
 };
 
 /** Revocation of a leaving primary that takes effect once the statements under way there have ended. */
--- a/src/SessionStatements.cpp
+++ b/src/SessionStatements.cpp
@@ -2,6 +2,7 @@
 
 #include "GroupInterest.h"
 #include "MemberConnections.h"
+#include "MemberEjections.h"
 #include "OrganisationQuota.h"
 #include "ProxyState.h"
 #include "SessionAccess.h"
@@ -274,6 +275,9 @@
     if (MemberState *member = findMember(state, run.member_)) {
         ++member->consecutiveTimeouts_;
     }
+    if (now - run.sentAt_ >= std::min(readTimeout, (run.deadline_ - run.arrived_) / 2)) {
+        countMissingReply(state, *session, run.member_, now); // A statement that was sent just before its deadline tells nothing.
+    }
     if (session->state_ != TransactionState::None && run.statement_.kind_ != StatementKind::Commit) {
         finishUnconfirmed(state, *session, ReplyCode::Aborted, "a statement was not answered in time; the transaction is rolled back", now, out);
         return;
@@ -307,6 +311,7 @@
         if (MemberState *unresponsiveMember = findMember(state, member)) {
             ++unresponsiveMember->consecutiveTimeouts_;
         }
+        countMissingReply(state, session, member, now);
         closeMemberConnection(state, id, out);
         session.run_->moved_ = true;
         retryStatement(state, session, member, "the member did not answer", now, out);
--- a/src/StatementAnswers.cpp
+++ b/src/StatementAnswers.cpp
@@ -2,6 +2,7 @@
 
 #include "GroupAdvice.h"
 #include "MemberConnections.h"
+#include "MemberEjections.h"
 #include "ProxyState.h"
 #include "SessionLookup.h"
 #include "StatementNeeds.h"
@@ -96,6 +97,12 @@
         }
         return;
     }
+    if (reply.code_ == ReplyCode::Failed && mayTryElsewhere(state, session, member, now)) {
+        session.run_->failedAt_ = member;
+        releaseMemberConnection(state, connection.id_, now, out);
+        retryStatement(state, session, member, toString(reply.code_), now, out);
+        return;
+    }
     // The statement ran and failed.
     const bool inTransaction = session.state_ != TransactionState::None;
     const bool ends = session.run_->statement_.kind_ == StatementKind::Commit;
@@ -114,6 +121,9 @@
         releaseMemberConnection(state, connection.id_, now, out);
         return;
     }
+    if (isStatement(request) || reply.code_ != ReplyCode::None) {
+        countReply(state, *session, connection.member_, reply.code_, now);
+    }
     if (reply.code_ != ReplyCode::None) {
         onRefusal(state, *session, connection, request, reply, now, out);
     } else if (!isStatement(request)) {
@@ -135,6 +145,7 @@
         session->state_ = TransactionState::Failed;
         return;
     }
+    countMissingReply(state, *session, member, now);
     StatementRun &run = *session->run_;
     if (isStatementRetryable(*session)) {
         retryStatement(state, *session, member, "the connection to the member was lost", now, out);
--- a/src/StatementDispatch.cpp
+++ b/src/StatementDispatch.cpp
@@ -3,6 +3,7 @@
 #include "ConnectionSharing.h"
 #include "CutOff.h"
 #include "MemberConnections.h"
+#include "MemberEjections.h"
 #include "OrganisationQuota.h"
 #include "PlannedRevocation.h"
 #include "ProxyState.h"
@@ -209,7 +210,8 @@
     if (now < session.run_->notBefore_) {
         return true;
     }
-    const std::vector<PlacementCandidate> candidates = placementCandidates(state, session, group, now);
+    std::vector<PlacementCandidate> candidates = placementCandidates(state, session, group, now);
+    withholdEjected(state, session, group, candidates, now);
     if (refuseUnservable(state, group, session, candidates, ahead, now, out)) {
         return false;
     }
--- a/src/StatementPlacement.cpp
+++ b/src/StatementPlacement.cpp
@@ -18,6 +18,7 @@
 /** Cost of a lagging member: it will usually refuse the read, which wastes a round trip and one of its slots. */
 constexpr double laggingCost = 10.0;
 constexpr double leavingCost = 100.0;
+constexpr double ejectedCost = 500.0;
 constexpr double unavailableCost = 1000.0;
 /** Opening a connection takes 12 ms; it pays off at a member whose cost is lower by at least this many statements than that of the best idle connection. */
 constexpr double openingCost = 2.0;
@@ -36,7 +37,8 @@
 double cost(const PlacementCandidate &candidate)
 {
     return static_cast<double>(candidate.activeStatements_) + (candidate.sameZone_ ? 0.0 : otherZoneCost) + primaryCostOf(candidate)
-           + (candidate.lagging_ ? laggingCost : 0.0) + (candidate.leaving_ ? leavingCost : 0.0) + (candidate.unavailable_ ? unavailableCost : 0.0);
+           + (candidate.lagging_ ? laggingCost : 0.0) + (candidate.leaving_ ? leavingCost : 0.0) + (candidate.ejected_ ? ejectedCost : 0.0)
+           + (candidate.unavailable_ ? unavailableCost : 0.0);
 }
 
 } // namespace
--- a/src/StatementPlacement.h
+++ b/src/StatementPlacement.h
@@ -23,6 +23,7 @@
     bool sameZone_ = false;
     bool leaving_ = false;
     bool lagging_ = false; ///< Recently refused a read because its log did not reach this position or an earlier one.
+    bool ejected_ = false; ///< Ejected as an outlier, or being probed after that; see OutlierEjection.h.
     bool unavailable_ = false; ///< Unresponsive or unreachable, or recently refused a connection.
     bool primary_ = false;
     bool deprioritised_ = false; ///< The primary: other members are slightly preferred, to leave it capacity for statements that only it may run.
--- a/test/support/SessionWorld.h
+++ b/test/support/SessionWorld.h
@@ -58,6 +58,23 @@
     Time at_;
 };
 
+/** Fault of a member that is running and reachable. The shares are of the statements that arrive at it. */
+struct MemberFault
+{
+    double failed_ = 0; ///< Share that it answers with an error.
+    double busy_ = 0; ///< Share that it refuses as busy.
+    double silent_ = 0; ///< Share that it neither runs nor answers.
+    double workFactor_ = 1; ///< Factor on the execution time of statements and connection attempts.
+    std::optional<ZoneId> seenFrom_; ///< Zone whose VMs see the fault; absent: all.
+};
+
+/** Number of statements that arrived at a member, and of those that its fault affected. */
+struct StatementTries
+{
+    unsigned all_ = 0;
+    unsigned failed_ = 0;
+};
+
 /** Client of one session, with the statements that it sent and the answers that it received. */
 struct WorldClient
 {
@@ -139,6 +156,7 @@
     void memberLeaves(unsigned member);
     /** Sets whether the member refuses new connections, as at its connection limit. */
     void memberIsFull(unsigned member, bool full);
+    void setFault(unsigned member, const MemberFault &fault);
     /** Adds or removes a directory entry of another writer that cannot be parsed. */
     void garbleEntry(const std::string &name, bool garbled);
     void newConfiguration(const std::function<void(SessionConfiguration &)> &change);
@@ -169,6 +187,8 @@
     [[nodiscard]] std::optional<unsigned> leader(unsigned group = 0) const;
     [[nodiscard]] unsigned promotions() const;
     [[nodiscard]] const std::vector<std::string> &violations() const;
+    /** Returns the statements that arrived at the member since the start. */
+    [[nodiscard]] StatementTries tries(unsigned member) const;
     /** Time at which the member last ran a client's statement that was the first of its operation. */
     [[nodiscard]] Time lastRun(unsigned member) const;
     /** Returns the log events of one number, as "MS vm: field=value ...". */
@@ -265,6 +285,10 @@
     Time scheduleWork(unsigned member, Time arrives, Duration work);
     [[nodiscard]] bool isFull(unsigned member);
     void sendToMember(unsigned vm, const SendToMember &effect);
+    /** Returns the fault of the member as this VM sees it. */
+    [[nodiscard]] MemberFault faultOf(unsigned vm, unsigned member) const;
+    /** Returns the error with which a faulty member answers a statement, None if it runs it, or Timeout if it does not answer. */
+    ReplyCode drawFailure(unsigned vm, unsigned member);
     void runAtMember(unsigned vm, std::uint64_t incarnation, const SendToMember &effect);
     void loseConnection(unsigned vm, ConnectionId connection);
     void callStore(unsigned vm, const StoreCall &call);
@@ -316,6 +340,9 @@
     std::set<std::pair<unsigned, unsigned>> vmCuts_;
     std::set<unsigned> storeCuts_;
     std::set<unsigned> fullMembers_;
+    std::map<unsigned, MemberFault> faults_;
+    std::map<unsigned, StatementTries> tries_;
+    std::mt19937_64 faultRandom_{1};
     std::map<unsigned, std::vector<Time>> slots_; ///< Time at which each slot becomes free, keyed by member.
     std::map<std::string, Duration> work_; ///< Execution time where it is not workTime_, keyed by statement id.
     OnAnswer onAnswer_;
--- a/test/support/SessionWorldMembers.cpp
+++ b/test/support/SessionWorldMembers.cpp
@@ -7,6 +7,11 @@
 
 namespace {
 
+Duration scaled(Duration time, double factor)
+{
+    return std::chrono::duration_cast<Duration>(time * factor);
+}
+
 unsigned numberOf(const MemberId &member)
 {
     const std::string &name = member.value();
@@ -41,7 +46,8 @@
         schedule(now_ + config_.networkDelay_, [this, vm, member, incarnation, effect] { openAtBusyMember(vm, member, incarnation, effect); });
         return;
     }
-    schedule(now_ + config_.openTime_ + 2 * config_.networkDelay_, [this, vm, member, incarnation, effect] {
+    const Duration openTime = scaled(config_.openTime_, faultOf(vm, member).workFactor_);
+    schedule(now_ + openTime + 2 * config_.networkDelay_, [this, vm, member, incarnation, effect] {
         if (vms_[vm].incarnation_ != incarnation || !vms_[vm].connections_.contains(effect.connection_)) {
             return;
         }
@@ -72,7 +78,8 @@
         return;
     }
     groupOf(member).connect(worldConnection(vm, effect.connection_), effect.member_);
-    schedule(scheduleWork(member, now_, config_.openTime_) + config_.networkDelay_, [this, vm, member, incarnation, effect, isAwaited] {
+    const Duration openTime = scaled(config_.openTime_, faultOf(vm, member).workFactor_);
+    schedule(scheduleWork(member, now_, openTime) + config_.networkDelay_, [this, vm, member, incarnation, effect, isAwaited] {
         if (isAwaited() && !vmMemberCuts_.contains({vm, member})) {
             deliverEvent(vm, incarnation, ConnectionOpened{effect.connection_});
         }
@@ -102,10 +109,11 @@
     const bool works =
         effect.request_.verb_ == MemberVerb::Forward || effect.request_.verb_ == MemberVerb::Execute || effect.request_.verb_ == MemberVerb::Commit;
     const auto own = work_.find(effect.request_.id_);
-    const Duration work = !works ? Duration(0) : own == work_.end() ? config_.workTime_ : own->second;
     const Time arrives = now_ + config_.networkDelay_;
     const auto connection = vms_[vm].connections_.find(effect.connection_);
     const bool held = works && connection != vms_[vm].connections_.end();
+    const double factor = held ? faultOf(vm, connection->second).workFactor_ : 1;
+    const Duration work = !works ? Duration(0) : scaled(own == work_.end() ? config_.workTime_ : own->second, factor);
     const Time done = held ? scheduleWork(connection->second, arrives, work) : arrives + work;
     schedule(done, [this, vm, incarnation, effect] { runAtMember(vm, incarnation, effect); });
 }
@@ -119,13 +127,23 @@
     if (vmMemberCuts_.contains({vm, member})) {
         return;
     }
-    if (effect.request_.verb_ == MemberVerb::Forward) {
+    MemberRequest request = effect.request_;
+    const bool works = request.verb_ == MemberVerb::Forward || request.verb_ == MemberVerb::Execute || request.verb_ == MemberVerb::Commit;
+    const ReplyCode failure = works ? drawFailure(vm, member) : ReplyCode::None;
+    if (failure == ReplyCode::Timeout) {
+        return;
+    }
+    if (failure != ReplyCode::None) {
+        request.verb_ = MemberVerb::Rollback; // A statement that fails ends its transaction.
+    }
+    if (request.verb_ == MemberVerb::Forward) {
         lastRuns_[member] = now_;
     }
-    std::optional<Standin::LineAnswer> answer = groupOf(member).run(worldConnection(vm, effect.connection_), effect.request_, now_);
+    std::optional<Standin::LineAnswer> answer = groupOf(member).run(worldConnection(vm, effect.connection_), request, now_);
     if (!answer) {
         return;
     }
+    answer->reply_.code_ = failure == ReplyCode::None ? answer->reply_.code_ : failure;
     checkOrganisation(vm, effect, answer->reply_);
     schedule(now_ + config_.networkDelay_, [this, vm, incarnation, member, effect, answer] {
         if (!vmMemberCuts_.contains({vm, member})) {
@@ -134,6 +152,41 @@
     });
 }
 
+void SessionWorld::setFault(unsigned member, const MemberFault &fault)
+{
+    faults_[member] = fault;
+}
+
+MemberFault SessionWorld::faultOf(unsigned vm, unsigned member) const
+{
+    const auto found = faults_.find(member);
+    const bool seen = found != faults_.end() && (!found->second.seenFrom_ || *found->second.seenFrom_ == vms_[vm].zone_);
+    return seen ? found->second : MemberFault();
+}
+
+ReplyCode SessionWorld::drawFailure(unsigned vm, unsigned member)
+{
+    const MemberFault fault = faultOf(vm, member);
+    StatementTries &tries = tries_[member];
+    ++tries.all_;
+    if (fault.failed_ + fault.busy_ + fault.silent_ == 0) {
+        return ReplyCode::None;
+    }
+    const double drawn = std::uniform_real_distribution<double>()(faultRandom_);
+    const ReplyCode code = drawn < fault.failed_                                 ? ReplyCode::Failed
+                           : drawn < fault.failed_ + fault.busy_                 ? ReplyCode::Retry
+                           : drawn < fault.failed_ + fault.busy_ + fault.silent_ ? ReplyCode::Timeout
+                                                                                 : ReplyCode::None;
+    tries.failed_ += code == ReplyCode::None ? 0 : 1;
+    return code;
+}
+
+StatementTries SessionWorld::tries(unsigned member) const
+{
+    const auto found = tries_.find(member);
+    return found == tries_.end() ? StatementTries() : found->second;
+}
+
 void SessionWorld::crashMember(unsigned member)
 {
     groupOf(member).crash(memberId(member));
