--- a/src/MemberEjections.cpp
+++ b/src/MemberEjections.cpp
@@ -156,6 +156,7 @@
     }
     for (const EjectionChange &change : reviewOutliers(*leader.outliers_, reviewedMembers(state, group), increases, now)) {
         out.emplace_back(describe(group, change));
+        state.sessions_->heartbeatNow_ = true; // Other VMs follow the change at once.
     }
     return ejectedMembers(*leader.outliers_, now);
 }
--- a/src/OutlierEjection.cpp
+++ b/src/OutlierEjection.cpp
@@ -22,6 +22,12 @@
 constexpr double maxChance = 1e-5;
 
 constexpr std::uint64_t minTimedAnswers = 10;
+/**
+ * Answer times differ by chance as well. The ratio of two means counts only from this number of its standard errors, which corresponds to maxChance. The
+ * variance is that of a mixture of databases, about twice the square of the mean.
+ */
+constexpr double minStandardErrors = 4.3;
+constexpr double relativeVariance = 2;
 /** Minimum difference between the mean answer times of an outlier and the others: about the work of one statement. */
 constexpr Duration minDelay = std::chrono::milliseconds(30);
 
@@ -35,7 +41,7 @@
 /** Number of probes from which their mean answer time shows that the member is still slow. */
 constexpr std::uint64_t minTimedProbes = 3;
 /** Time without probes after one has failed. A member must be used again within 3 s of its recovery, which includes this and the probes. */
-constexpr Duration probePause = std::chrono::milliseconds(1000);
+constexpr Duration probePause = std::chrono::milliseconds(500);
 /** Time after which a member without a failed probe is used again, in groups with too few statements for all probes. */
 constexpr Duration maxProbingTime = std::chrono::milliseconds(2000);
 /** One of so many statements probes a member. */
@@ -130,6 +136,14 @@
     return {failureShare(own), failureShare(othersOf(history, member)), meanTime(own), medianTime(std::move(means))};
 }
 
+/** Whether the ratio of the mean answer times is too large to occur by chance among members that are alike. */
+bool isSlownessCertain(const OutcomeComparison &compared, std::uint64_t own, std::uint64_t others)
+{
+    const double variance = relativeVariance * (1.0 / static_cast<double>(own) + 1.0 / static_cast<double>(others));
+    const double ratio = static_cast<double>(compared.meanTime_.count()) / static_cast<double>(compared.othersMeanTime_.count());
+    return std::log(ratio) >= minStandardErrors * std::sqrt(variance);
+}
+
 bool isSlow(const OutcomeComparison &compared)
 {
     const bool known = compared.othersMeanTime_ > Duration(0);
@@ -144,11 +158,13 @@
 std::optional<EjectionReason> outlierReason(const OutlierHistory &history, const MemberId &member, const OutcomeComparison &compared)
 {
     const OutcomeCount own = sumOf(history.members_.at(member));
+    const OutcomeCount others = othersOf(history, member);
     const bool manyFailures = eventsOf(own) >= minFailureEvents && compared.failureShare_ >= minFailureShare && failsMore(compared);
-    if (manyFailures && chanceOf(own, othersOf(history, member)) <= maxChance) {
+    if (manyFailures && chanceOf(own, others) <= maxChance) {
         return EjectionReason::Failures;
     }
-    return own.answered_ >= minTimedAnswers && isSlow(compared) ? std::optional(EjectionReason::Slowness) : std::nullopt;
+    const bool isOutlier = own.answered_ >= minTimedAnswers && isSlow(compared) && isSlownessCertain(compared, own.answered_, others.answered_);
+    return isOutlier ? std::optional(EjectionReason::Slowness) : std::nullopt;
 }
 
 void startPhase(MemberOutcomes &outcomes, EjectionPhase phase, Time ends)
@@ -191,6 +207,16 @@
     }
 }
 
+/** Forgets the outcomes at the members in use, which carried the load of the ejected ones and so do not compare with those from now on. */
+void forgetOutcomes(OutlierHistory &history)
+{
+    for (auto &[id, outcomes] : history.members_) {
+        if (outcomes.phase_ == EjectionPhase::InUse) {
+            outcomes.window_.clear();
+        }
+    }
+}
+
 void startProbing(OutlierHistory &history, Time now)
 {
     for (auto &[id, outcomes] : history.members_) {
@@ -289,6 +315,9 @@
     if (members.size() >= minComparedMembers) {
         ejectOutliers(history, members, changes, now);
     }
+    if (!changes.empty()) {
+        forgetOutcomes(history);
+    }
     return changes;
 }
 
--- a/test/correctness/OutliersAreEjected.cpp
+++ b/test/correctness/OutliersAreEjected.cpp
@@ -89,7 +89,7 @@
 
     MemberTotals outcomes(std::size_t member)
     {
-        constexpr double probeShare = 0.1;
+        const double probeShare = 0.1 * static_cast<double>(behaviours_.size()); // A tenth of the statements at all members.
         const EjectionPhase used = phase(member);
         const double share = used == EjectionPhase::InUse ? 1 : used == EjectionPhase::Probing ? probeShare : 0;
         const double mean = perSecond_ * share * std::chrono::duration<double>(reviewInterval).count();
--- a/test/error/SessionMemberIsFaulty.cpp
+++ b/test/error/SessionMemberIsFaulty.cpp
@@ -145,10 +145,20 @@
                                 FaultCase{"busy", {.busy_ = 0.45}},
                                 FaultCase{"silent", {.silent_ = 0.5}},
                                 FaultCase{"mixed", {.failed_ = 0.15, .busy_ = 0.15, .silent_ = 0.15}},
-                                FaultCase{"slow", {.workFactor_ = 8}},
-                                FaultCase{"inOneZone", {.failed_ = 1, .seenFrom_ = ZoneId("zone-2")}}),
+                                FaultCase{"slow", {.workFactor_ = 8}}),
                          [](const TestParamInfo<FaultCase> &info) { return info.param.name_; });
 
+// Guards against reads that fail in one zone only because its VMs do not reach a working member properly.
+TEST(SessionMemberIsFaulty, alsoIfOnlyOneZoneSeesIt)
+{
+    const RunResult result = runWithFault(replica, {.failed_ = 1, .seenFrom_ = ZoneId("zone-2")});
+    EXPECT_EQ(result.usersAfterwards_, vms);
+    EXPECT_LT(result.failedTries_, maxFailedTries);
+    EXPECT_GE(result.inAim_, 0.95);
+    EXPECT_THAT(result.ejected_, Each(HasSubstr("member=member-1 "))) << "no other member";
+    EXPECT_THAT(result.violations_, IsEmpty());
+}
+
 // Verifies that the load of the test above reproduces the failure without the ejection of outliers.
 TEST(SessionMemberIsFaulty, andUsedThroughoutWithoutEjection)
 {
@@ -218,15 +228,16 @@
     world.setFault(2, {.failed_ = 1});
     const std::size_t reader = world.open(1, "history");
     const std::size_t writer = world.open(1, "dispatch");
-    EXPECT_EQ(world.ask(writer, StatementKind::Write, "WRITE x").code_, ReplyCode::None);
     for (int read = 0; read < 10; ++read) {
         world.ask(reader, StatementKind::Read, "READ x");
     }
-    const unsigned tries = world.tries(0).all_ + world.tries(1).all_ + world.tries(2).all_;
-    EXPECT_LE(tries, 1 + 10 * 2U);
+    unsigned tries = world.tries(0).all_ + world.tries(1).all_ + world.tries(2).all_;
+    EXPECT_LE(tries, 10 * 2U);
     EXPECT_GT(world.tries(1).failed_ + world.tries(2).failed_, 0U);
+    EXPECT_EQ(world.ask(writer, StatementKind::Write, "WRITE x").code_, ReplyCode::None);
 
     world.setFault(primary, {.failed_ = 1});
+    tries += 1;
     const unsigned before = world.tries(primary).all_;
     EXPECT_EQ(world.ask(reader, StatementKind::Read, "READ x").code_, ReplyCode::Failed) << "all members fail it";
     world.run(seconds(3));
