--- a/src/OutlierEjection.cpp
+++ b/src/OutlierEjection.cpp
@@ -42,10 +42,14 @@
 constexpr std::uint64_t minTimedProbes = 3;
 /** Time without probes after one has failed. A member must be used again within 3 s of its recovery, which includes this and the probes. */
 constexpr Duration probePause = std::chrono::milliseconds(500);
-/** Time after which a member without a failed probe is used again, in groups with too few statements for all probes. */
-constexpr Duration maxProbingTime = std::chrono::milliseconds(2000);
 /** One of so many statements probes a member. */
 constexpr std::uint64_t statementsPerProbe = 10;
+/** Minimum time of probing: a probe without an answer is noticed after 450 ms and reported within 250 ms. */
+constexpr Duration minProbingTime = std::chrono::milliseconds(750);
+/** Time after which a member without a failed probe is used again, if the group has too few statements for all probes in this time. */
+constexpr Duration maxProbingTime = std::chrono::milliseconds(2000);
+/** Maximum number of such statements in the sliding window. */
+constexpr std::uint64_t fewStatements = neededProbes * statementsPerProbe * windowLength.count() / maxProbingTime.count();
 
 /** Number of failures in a row, and the time within which they occur, for which a VM without advice avoids a member; and for how long. */
 constexpr std::size_t avoidedFailures = 3;
@@ -235,9 +239,11 @@
         }
         const OutcomeComparison compared = compare(history, id);
         const std::uint64_t answered = sumOf(outcomes).answered_;
+        const bool isProven = answered >= neededProbes && now >= outcomes.phaseEnds_ - maxProbingTime + minProbingTime;
+        const bool isOver = now >= outcomes.phaseEnds_ && eventsOf(othersOf(history, id)) < fewStatements;
         if (failsMore(compared) || (answered >= minTimedProbes && isSlow(compared))) {
             startPhase(outcomes, EjectionPhase::Ejected, now + probePause);
-        } else if (answered >= neededProbes || now >= outcomes.phaseEnds_) {
+        } else if (isProven || isOver) {
             changes.push_back(returnMember(history, id, EjectionReason::Proven, now));
         }
     }
@@ -307,8 +313,8 @@
     for (const ReviewedMember &member : members) {
         history.members_.try_emplace(member.member_);
     }
-    startProbing(history, now);
     recordIncreases(history, increases, now);
+    startProbing(history, now);
     std::vector<EjectionChange> changes;
     judgeProbes(history, changes, now);
     returnNeeded(history, members, changes, now);
--- a/src/OutlierEjection.h
+++ b/src/OutlierEjection.h
@@ -38,7 +38,7 @@
 {
     std::deque<OutcomeCount> window_; ///< Outcomes of the sliding window, newest last; while probing, those since that began.
     EjectionPhase phase_ = EjectionPhase::InUse;
-    Time phaseEnds_; ///< Start of probing, or end of probing if there are too few statements to prove the member.
+    Time phaseEnds_; ///< Start of probing; while probing, its end if the group has too few statements to prove the member.
     Duration ejectionTime_{}; ///< Length of the last ejection.
     std::optional<Time> returnedAt_; ///< Time when the member was last used again after an ejection.
 };
