--- a/src/OutlierEjection.cpp
+++ b/src/OutlierEjection.cpp
@@ -31,6 +31,13 @@
 /** Minimum difference between the mean answer times of an outlier and the others: about the work of one statement. */
 constexpr Duration minDelay = std::chrono::milliseconds(30);
 
+/**
+ * Maximum mean answer time of the other members for which a member is ejected, and for which it stays so. A read counts as failed after 450 ms: if the others
+ * are close to that, the load needs all members, and differences between them come from the lengths of their queues.
+ */
+constexpr Duration maxOthersTimeToEject = std::chrono::milliseconds(150);
+constexpr Duration maxOthersTime = std::chrono::milliseconds(300);
+
 constexpr Duration firstEjectionTime = std::chrono::milliseconds(2000);
 constexpr Duration maxEjectionTime = std::chrono::milliseconds(8000);
 /** A member that is ejected again within this time of its return is ejected for twice as long as before. */
@@ -261,7 +268,11 @@
 void returnNeeded(OutlierHistory &history, absl::Span<const ReviewedMember> members, std::vector<EjectionChange> &changes, Time now)
 {
     for (const ReviewedMember &member : members) {
-        if (history.members_[member.member_].phase_ != EjectionPhase::InUse && !mayBeSpared(history, members, member.member_)) {
+        if (history.members_[member.member_].phase_ == EjectionPhase::InUse) {
+            continue;
+        }
+        const bool isOverloaded = compare(history, member.member_).othersMeanTime_ > maxOthersTime;
+        if (isOverloaded || !mayBeSpared(history, members, member.member_)) {
             changes.push_back(returnMember(history, member.member_, EjectionReason::Needed, now));
         }
     }
@@ -275,7 +286,8 @@
             continue;
         }
         const OutcomeComparison compared = compare(history, member.member_);
-        if (const std::optional<EjectionReason> reason = outlierReason(history, member.member_, compared)) {
+        const std::optional<EjectionReason> reason = outlierReason(history, member.member_, compared);
+        if (reason && compared.othersMeanTime_ <= maxOthersTimeToEject) {
             outliers.push_back({member.member_, true, *reason, compared, {}});
         }
     }
@@ -301,7 +313,7 @@
     case EjectionReason::Proven:
         return "probes-succeeded";
     case EjectionReason::Needed:
-        return "too-few-members";
+        return "others-insufficient";
     }
     return "";
 }
--- a/src/OutlierEjection.h
+++ b/src/OutlierEjection.h
@@ -61,7 +61,7 @@
     Failures, ///< It fails more of its statements than the others.
     Slowness, ///< It takes longer to answer than the others.
     Proven, ///< Returned: its probes succeeded.
-    Needed, ///< Returned: too few other members are left.
+    Needed, ///< Returned: too few other members are left, or they are overloaded.
 };
 /** Name of \p reason in logs, such as "failures". */
 const char *toString(EjectionReason reason);
--- a/test/correctness/OutliersAreEjected.cpp
+++ b/test/correctness/OutliersAreEjected.cpp
@@ -315,6 +315,20 @@
     EXPECT_EQ(later.changes_.back().reason_, EjectionReason::Needed);
 }
 
+// Guards against ejections while all members are overloaded: their queues differ in length, and with one member less the others' queues grow further.
+TEST(OutliersAreEjected, notWhileTheOthersAreOverloaded)
+{
+    Group group;
+    group.review({answers(0, 40, 0, milliseconds(200)), answers(1, 40, 0, milliseconds(200)), answers(2, 20, 20)});
+    EXPECT_THAT(group.changes_, IsEmpty());
+    Group later = withEjection();
+    later.review({answers(0, 40, 0, milliseconds(200)), answers(1, 40, 0, milliseconds(200))});
+    EXPECT_EQ(later.phase(2), EjectionPhase::Ejected);
+    later.review({answers(0, 200, 0, milliseconds(400)), answers(1, 200, 0, milliseconds(400))});
+    EXPECT_EQ(later.phase(2), EjectionPhase::InUse);
+    EXPECT_EQ(later.changes_.back().reason_, EjectionReason::Needed);
+}
+
 TEST(OutliersAreEjected, alsoByTheNextLeader)
 {
     const Time now{seconds(1000)};
