--- a/src/SessionPolicies.h
+++ b/src/SessionPolicies.h
@@ -25,6 +25,7 @@
     bool deprioritisesPrimary_ = true; ///< Slightly prefers replicas for reads, to leave the primary capacity for writes; see StatementPlacement.h.
     bool forwardsReads_ = true; ///< Forwards reads to the VM that keeps connections for their organisation; see ReadForwarding.h.
     bool sharesFairly_ = true; ///< Shares the members between organisations by their configured rates; see StatementQueue.h.
+    bool ejectsOutliers_ = true; ///< Avoids members that fail or delay more statements than the others of their group; see OutlierEjection.h.
     bool operator==(const SessionPolicies &) const = default;
 };
 
