--- a/src/GroupAdvice.cpp
+++ b/src/GroupAdvice.cpp
@@ -1,5 +1,6 @@
 #include "GroupAdvice.h"
 
+#include "LoadShedding.h"
 #include "ProxyState.h"
 #include "SessionLookup.h"
 
@@ -51,7 +52,7 @@
     }
 }
 
-void reviewAdvice(ProxyState &state, SessionGroup &group, Time now, Effects & /*out*/)
+void reviewAdvice(ProxyState &state, SessionGroup &group, Time now, Effects &out)
 {
     if (!group.leader_ || now < group.leader_->adviceReviewAt_) {
         return;
@@ -62,6 +63,7 @@
     mergeObservations(leader.reports_, self.name_, self.incarnation_, reportOf(state, group, now), now);
     GroupAdvice advice;
     advice.lagging_ = laggingMembers(leader.reports_, now);
+    adviseLevels(*state.sessions_, group, takeIncreases(leader.reports_, now), advice, now, out);
     receiveAdvice(state, group, advice, now);
 }
 
--- a/src/GroupReports.h
+++ b/src/GroupReports.h
@@ -49,9 +49,9 @@
 {
     MemberPool pool_ = MemberPool::Primary;
     unsigned priority_ = 0; ///< 0 is the most urgent.
-    std::uint64_t started_ = 0; ///< Statements sent to a member.
+    std::uint64_t started_ = 0; ///< Operations whose first statement was sent to a member, or refused without having been sent.
     std::uint64_t shed_ = 0; ///< Operations refused because of the admission level.
-    Duration waitTime_{}; ///< Sum of the times from arrival to the first sending.
+    Duration waitTime_{}; ///< Sum over the started operations of the time from arrival to the first sending, or to the refusal.
 };
 
 /** What one VM has observed of a group since its process started, or the sum or difference of such observations. */
@@ -81,7 +81,10 @@
     LagSighting lagged_;
 };
 
-/** Which operations of a pool are admitted: all of a priority above priority_, the given fraction of those of priority_, and none of a lower priority. */
+/**
+ * Which operations of a pool are admitted: all that are more urgent than priority_, the given fraction of those of priority_, and a small fraction of those
+ * that are less urgent; see GroupPressure.h.
+ */
 struct AdmissionLevel
 {
     unsigned priority_ = 0;
--- a/src/LogEvents.h
+++ b/src/LogEvents.h
@@ -70,6 +70,8 @@
     StatementRetried = 507,
     KeyRefused = 508,
     KeysRevoked = 509,
+    LoadSheddingStarted = 510,
+    LoadSheddingEnded = 511,
     StoreLost = 601,
     StoreRegained = 602,
     StoreObjectUnreadable = 603,
--- a/src/MemberConnections.cpp
+++ b/src/MemberConnections.cpp
@@ -2,6 +2,7 @@
 
 #include "ConnectionSharing.h"
 #include "Event.h"
+#include "LoadShedding.h"
 #include "ProxyState.h"
 #include "SessionLookup.h"
 #include "StatementAnswers.h"
@@ -57,11 +58,13 @@
     const Duration jitter(static_cast<std::int64_t>(state.random_() % static_cast<std::uint64_t>(fullBackoff.count())));
     const Duration backoff = end == ConnectionEnd::Refused ? fullBackoff + jitter : openBackoff;
     member.openAfter_ = now + backoff * (1U << doublings);
+    member.urgentOpenAfter_ = member.openAfter_;
     ++member.openFailures_;
     member.connectionRefused_ = end == ConnectionEnd::Unreachable;
     if (end == ConnectionEnd::Refused) {
         // A member that refuses as full is alive and reachable.
         member.refusedAt_ = now;
+        recordFullRefusal(*state.sessions_, member, backoff, now);
         recordResponse(member);
     } else {
         member.unreachable_ = true;
@@ -323,6 +326,7 @@
     }
     if (MemberState *member = findMember(state, connection->member_)) {
         member->openFailures_ = 0;
+        member->fullRefusals_ -= std::min(member->fullRefusals_, 1U);
         member->connectionRefused_ = false;
         recordResponse(*member);
         member->lastAnsweredAt_ = std::max(member->lastAnsweredAt_.value_or(connection->sentAt_), connection->sentAt_);
--- a/src/OrganisationQuota.cpp
+++ b/src/OrganisationQuota.cpp
@@ -239,6 +239,7 @@
         if (left > 0) {
             --left;
             decided -= decided > 0 ? 1 : 0;
+            session.run_->admittedAt_ = now;
             enqueueStatement(state, session);
         } else if (decided > 0) {
             --decided;
--- a/src/SessionMetrics.cpp
+++ b/src/SessionMetrics.cpp
@@ -71,6 +71,10 @@
     , promotions_(BuildCounter().Name("figward_promotion_calls_total").Help("Answers to calls that make a member the primary").Register(registry))
     , memberConnections_(BuildGauge().Name("figward_member_connections").Help("Connections to members, in use or idle").Register(registry))
     , authority_(BuildGauge().Name("figward_authority_seconds").Help("How much longer the group's primary may be used; zero: not").Register(registry))
+    , admissionLevels_(BuildGauge()
+                           .Name("figward_admission_level")
+                           .Help("Number of priorities admitted in full, plus the admitted fraction of the next; -1: all operations are admitted")
+                           .Register(registry))
     , replicaReads_(counter(registry, "figward_statements_by_replicas_total", "Statements that a replica ran"))
     , retries_(counter(registry, "figward_statement_retries_total", "Further tries of statements"))
     , sessions_(gauge(registry, "figward_sessions", "Sessions that are open"))
@@ -178,6 +182,23 @@
     });
 }
 
+void SessionMetrics::observeLevels(const SessionGroup &group, Time now)
+{
+    const GroupAdvice *advice = currentAdvice(group.advice_, now);
+    const bool isLimited = advice != nullptr && (advice->primaryLevel_ || advice->replicaLevel_);
+    const auto [entry, isNew] = isLimited ? levels_.try_emplace(group.id_) : std::pair(levels_.find(group.id_), false);
+    if (entry == levels_.end()) {
+        return;
+    }
+    if (isNew) {
+        entry->second = {&admissionLevels_.Add({{"group", group.id_.value()}, {"pool", "primary"}}),
+                         &admissionLevels_.Add({{"group", group.id_.value()}, {"pool", "replicas"}})};
+    }
+    const auto valueOf = [](const std::optional<AdmissionLevel> &level) { return level ? level->priority_ + level->fraction_ : -1; };
+    entry->second[0]->Set(advice == nullptr ? -1 : valueOf(advice->primaryLevel_));
+    entry->second[1]->Set(advice == nullptr ? -1 : valueOf(advice->replicaLevel_));
+}
+
 void SessionMetrics::observeAges(const SessionServiceState &state, Time now)
 {
     for (const auto &[id, group] : state.groups_) {
@@ -185,6 +206,7 @@
         if (left == nullptr) {
             left = &authority_.Add({{"group", id.value()}});
         }
+        observeLevels(group, now);
         left->Set(holdsAuthority(group.authority_, now) ? seconds(group.authority_.validUntil_ - now) : 0);
     }
     if (state.configuration_) {
--- a/src/SessionMetrics.h
+++ b/src/SessionMetrics.h
@@ -39,6 +39,7 @@
     prometheus::Counter &statementCounter(const StatementEnded &ended);
     void observeMembers(const SessionServiceState &state);
     void observeAges(const SessionServiceState &state, Time now);
+    void observeLevels(const SessionGroup &group, Time now);
 
     prometheus::Family<prometheus::Counter> &statements_;
     prometheus::Family<prometheus::Histogram> &times_;
@@ -47,6 +48,7 @@
     prometheus::Family<prometheus::Counter> &promotions_;
     prometheus::Family<prometheus::Gauge> &memberConnections_;
     prometheus::Family<prometheus::Gauge> &authority_;
+    prometheus::Family<prometheus::Gauge> &admissionLevels_;
     prometheus::Counter &replicaReads_;
     prometheus::Counter &retries_;
     prometheus::Gauge &sessions_;
@@ -65,6 +67,7 @@
     std::array<std::array<std::array<prometheus::Counter *, codes>, 2>, routes> statementsByRoute_{};
     std::map<MemberId, std::array<prometheus::Gauge *, 2>> members_; ///< Connections in use and idle, for each known member.
     std::map<ServiceId, prometheus::Gauge *> groups_;
+    std::map<ServiceId, std::array<prometheus::Gauge *, 2>> levels_; ///< Of the primary and of the replicas, for each group that has had a level.
 };
 
 } // namespace Figward
--- a/src/SessionPolicies.h
+++ b/src/SessionPolicies.h
@@ -22,6 +22,7 @@
     bool prefersOwnZone_ = true; ///< Prefers members of the VM's own availability zone; see StatementPlacement.h.
     bool poolsQuota_ = true; ///< One VM per zone enforces an organisation's rate for all VMs; if false, each VM has an equal share. See OrganisationQuota.h.
     bool deprioritisesPrimary_ = true; ///< Slightly prefers replicas for reads, to leave the primary capacity for writes; see StatementPlacement.h.
+    bool shedsUnderPressure_ = true; ///< Limits the operations of less urgent priorities while those of a group wait too long; see GroupPressure.h.
     bool operator==(const SessionPolicies &) const = default;
 };
 
--- a/src/SessionService.cpp
+++ b/src/SessionService.cpp
@@ -131,6 +131,9 @@
 {
     const bool held = holdsAuthority(group.authority_, now);
     const bool isExpected = sessions.onDemand_ && !group.leader_; // There, authority comes and goes with each use of the group.
+    if (held && !group.heldAuthority_) {
+        group.authorityHeldSince_ = now;
+    }
     if (held != group.heldAuthority_ && isExpected) {
         group.heldAuthority_ = held;
     } else if (held != group.heldAuthority_) {
--- a/src/SessionState.h
+++ b/src/SessionState.h
@@ -7,6 +7,7 @@
 #include "ConfigurationDelay.h"
 #include "ConnectionPlan.h"
 #include "Delegates.h"
+#include "GroupPressure.h"
 #include "PositionSamples.h"
 #include "PrimaryAuthority.h"
 #include "SessionEvents.h"
@@ -38,11 +39,13 @@
     ClientStatement statement_;
     Time arrived_;
     Time deadline_; ///< Time by which the client must have the answer.
+    Time admittedAt_; ///< Time when its organisation's quota admitted it, if it waited for a permit.
     Time notBefore_; ///< Earliest time of the next attempt.
     std::optional<ConnectionId> connection_; ///< Connection on which it runs; absent while it waits for one.
     bool sent_ = false; ///< The statement itself was sent, not only requests that prepare its connection.
     bool moved_ = false; ///< It was moved away from a member that did not answer.
     bool usesPrimary_ = false; ///< It runs at the primary, so its answer is valid only while this VM holds authority over that member.
+    bool waitCounted_ = false; ///< Its wait is in the observations of its group; see LoadShedding.h.
     bool first_ = false; ///< It is the first statement of its operation, of which no member has run any part yet.
     MemberId member_; ///< Member of the last attempt.
     Time placedAt_; ///< Time of the first attempt.
@@ -128,6 +131,8 @@
     std::optional<Time> sharedLagAt_;
     std::optional<Time> refusedAt_; ///< Time when it last refused a connection as full; it is then alive and reachable.
     Time openAfter_; ///< Earliest time of the next connection attempt.
+    Time urgentOpenAfter_; ///< The same for statements of the most urgent priority while the group is under pressure.
+    unsigned fullRefusals_ = 0; ///< Refusals as full while the group was under pressure, less the connections opened since.
     unsigned openFailures_ = 0; ///< Number of consecutive failed connection attempts.
     bool connectionRefused_ = false; ///< The last connection attempt was refused by its host, so its process is gone.
     bool unreachable_ = false; ///< The last connection attempt failed, for another reason than that the member is full.
@@ -165,6 +170,7 @@
     Time leadSince_;
     ObservationMerge reports_; ///< What all VMs report about the group.
     Time adviceReviewAt_; ///< Earliest time at which the advice is updated.
+    std::optional<GroupPressure> pressure_; ///< Admission levels; absent before the first review.
 };
 
 /** Revocation of a leaving primary that takes effect once the statements under way there have ended. */
@@ -207,6 +213,7 @@
     std::vector<SessionKey> waiting_; ///< Sessions whose statements wait for a connection, most urgent first.
     bool heldAuthority_ = false; ///< Whether authority was held when last checked and logged.
     Time authorityLostAt_; ///< Time when authority was last lost; not set before the first loss.
+    Time authorityHeldSince_; ///< Time when heldAuthority_ last became true.
     std::uint64_t heldEpoch_ = 0; ///< Epoch of the authority held last; zero before the first. Authority of a later epoch follows a replacement.
     QueueHistory queue_; ///< History of waiting_.
     GroupObservations observed_; ///< Totals of this VM since its start.
--- a/src/SessionStatements.cpp
+++ b/src/SessionStatements.cpp
@@ -1,6 +1,7 @@
 #include "SessionStatements.h"
 
 #include "GroupInterest.h"
+#include "LoadShedding.h"
 #include "MemberConnections.h"
 #include "OrganisationQuota.h"
 #include "ProxyState.h"
@@ -50,6 +51,9 @@
     useGroup(state, session, now);
     if (!session.pinned_) {
         session.run_->first_ = true;
+        if (refuseIfShed(state, session, now, out)) {
+            return;
+        }
         admitOperation(state, session, now, out);
         return;
     }
@@ -268,6 +272,9 @@
     }
     const StatementRun &run = *session->run_;
     if (!run.sent_) {
+        if (!isAwaitingPermit(*state.sessions_, *session)) {
+            recordWait(state, *session, now);
+        }
         refuseStatement(state, *session, ReplyCode::Retry, retryAfterText(defaultRetryDelay, waitReason(state, *session, now)), now, out);
         return;
     }
--- a/src/StatementAnswers.cpp
+++ b/src/StatementAnswers.cpp
@@ -1,6 +1,7 @@
 #include "StatementAnswers.h"
 
 #include "GroupAdvice.h"
+#include "LoadShedding.h"
 #include "MemberConnections.h"
 #include "ProxyState.h"
 #include "SessionLookup.h"
@@ -161,6 +162,7 @@
     const bool harmless = run.statement_.kind_ == StatementKind::Commit && !session->wrote_;
     if (!run.usesPrimary_ || harmless || holdsAuthority(group.authority_, connection.member_, now)) {
         if (isStatement(step)) {
+            recordWait(state, *session, now);
             run.sent_ = true;
             run.sentAt_ = now;
         }
--- a/src/StatementDispatch.cpp
+++ b/src/StatementDispatch.cpp
@@ -2,6 +2,7 @@
 
 #include "ConnectionSharing.h"
 #include "CutOff.h"
+#include "LoadShedding.h"
 #include "MemberConnections.h"
 #include "OrganisationQuota.h"
 #include "PlannedRevocation.h"
@@ -53,6 +54,17 @@
     return (policies.skipsLagging_ && refusedHere) || (policies.sharesLag_ && refusedElsewhere);
 }
 
+/** Removes the primary if a replica that is not known to be down may run the statement, even if that replica is full. */
+void leaveToReplicas(ProxyState &state, std::vector<PlacementCandidate> &candidates)
+{
+    const auto isUsableReplica = [&](const PlacementCandidate &candidate) {
+        return !candidate.primary_ && !candidate.lagging_ && !isUnavailable(*findMember(state, candidate.member_));
+    };
+    if (std::ranges::any_of(candidates, isUsableReplica)) {
+        std::erase_if(candidates, [](const PlacementCandidate &candidate) { return candidate.primary_; });
+    }
+}
+
 std::vector<PlacementCandidate> placementCandidates(ProxyState &state, const ClientSession &session, const SessionGroup &group, Time now)
 {
     const StatementRun &run = *session.run_;
@@ -84,9 +96,12 @@
         candidate.temporaryConnections_ = plan.temporary_;
         candidate.lagging_ = !primary && position && isLagging(policies, *member, *position, plan.temporary_, now);
         const bool hasRoom = member->connections_.size() < connectionsAllowed(plan, now - run.arrived_);
-        candidate.mayOpen_ = (hasRoom || hasIdleOfOthers) && now >= member->openAfter_;
+        candidate.mayOpen_ = (hasRoom || hasIdleOfOthers) && now >= openingAllowedAt(*state.sessions_, group, *member, session, now);
         candidates.push_back(candidate);
     }
+    if (!primaryOnly && leavesPrimary(*state.sessions_, group, session, now)) {
+        leaveToReplicas(state, candidates);
+    }
     return candidates;
 }
 
@@ -180,6 +195,7 @@
     if (!forecast || shouldWait(*forecast, run.deadline_ - answerMargin, run.deadline_ - run.arrived_, now)) {
         return false;
     }
+    recordWait(state, session, now);
     refuseStatement(state, session, ReplyCode::Retry, retryAfterText(forecast->remaining_, waitReason(state, session, now)), now, out);
     return true;
 }
@@ -188,12 +204,12 @@
  * Opens a connection for the statement, unless a suitable one is already being opened. At the limit, an idle connection of another organisation is closed
  * first.
  */
-void openConnectionFor(ProxyState &state, const ClientSession &session, MemberState &member, Time now, Effects &out)
+void openConnectionFor(ProxyState &state, const SessionGroup &group, const ClientSession &session, MemberState &member, Time now, Effects &out)
 {
     const auto isOpeningForSame = [&](ConnectionId id) {
         return findConnection(state, id)->use_ == MemberConnectionUse::Opening && isForOrganisation(state, id, session);
     };
-    if (std::ranges::any_of(member.connections_, isOpeningForSame)) {
+    if (std::ranges::any_of(member.connections_, isOpeningForSame) || !mayOpenAnother(*state.sessions_, group, member, now)) {
         return;
     }
     const ConnectionPlan plan = planFor(*state.sessions_, member, now);
@@ -215,7 +231,7 @@
     }
     const Placement placement = placeStatement(candidates);
     if (placement.open_) {
-        openConnectionFor(state, session, *findMember(state, *placement.open_), now, out);
+        openConnectionFor(state, group, session, *findMember(state, *placement.open_), now, out);
     }
     if (!placement.run_) {
         return true;
--- a/src/StatementOutcome.cpp
+++ b/src/StatementOutcome.cpp
@@ -1,5 +1,6 @@
 #include "StatementOutcome.h"
 
+#include "LoadShedding.h"
 #include "MemberConnections.h"
 #include "OrganisationQuota.h"
 #include "ProxyState.h"
@@ -135,6 +136,7 @@
     run.excludedMembers_.insert(avoided);
     run.notBefore_ = now + retryDelay;
     if (run.attempts_ >= maxAttempts || run.notBefore_ + answerMargin >= run.deadline_) {
+        recordWait(state, session, now);
         refuseStatement(state, session, ReplyCode::Retry, retryAfterText(defaultRetryDelay, reason), now, out);
         return;
     }
--- a/test/support/SessionLoad.cpp
+++ b/test/support/SessionLoad.cpp
@@ -1,5 +1,7 @@
 #include "support/SessionLoad.h"
 
+#include <algorithm>
+
 namespace Figward::Testing {
 
 namespace {
@@ -41,6 +43,11 @@
     world_.run(duration + longestBudget);
 }
 
+void SessionLoad::setRate(const std::string &database, double perSecond)
+{
+    std::ranges::find(routes_, database, &LoadRoute::database_)->perSecond_ = perSecond;
+}
+
 const LoadCount &SessionLoad::count(const std::string &database) const
 {
     return counts_.at(database);
--- a/test/support/SessionLoad.h
+++ b/test/support/SessionLoad.h
@@ -41,6 +41,8 @@
      * Generates operations for \p duration and then advances the time until all have ended. An operation that arrives at a stopped VM is sent to a running one.
      */
     void run(Duration duration);
+    /** Sets the rate of new operations on \p database from now on. */
+    void setRate(const std::string &database, double perSecond);
     [[nodiscard]] const LoadCount &count(const std::string &database) const;
 
 private:
--- a/test/support/SessionWorld.cpp
+++ b/test/support/SessionWorld.cpp
@@ -17,7 +17,7 @@
     return ServiceId(group == 0 ? "ledger-group" : absl::StrCat("ledger-group-", group));
 }
 
-DatabaseRoute route(unsigned group, Consistency consistency, Duration timeout, Duration staleness, unsigned priority)
+DatabaseRoute route(unsigned group, Consistency consistency, Duration timeout, Duration staleness, unsigned priority, Duration target)
 {
     DatabaseRoute route;
     route.service_ = serviceOf(group);
@@ -25,6 +25,7 @@
     route.statementTimeout_ = timeout;
     route.maxStaleness_ = staleness;
     route.priority_ = priority;
+    route.target_ = target;
     return route;
 }
 
@@ -34,12 +35,14 @@
     configuration.version_ = ConfigVersion(3);
     configuration.transactionIdle_ = std::chrono::seconds(3);
     for (unsigned group = 0; group < config.groups_; ++group) {
-        const auto add = [&](const std::string &kind, Consistency consistency, Duration timeout, Duration staleness, unsigned priority) {
-            configuration.databases_[SessionWorld::databaseOf(kind, group)] = route(group, consistency, timeout, staleness, priority);
+        const auto add = [&](const std::string &kind, Consistency consistency, Duration timeout, Duration staleness, unsigned priority, Duration target) {
+            configuration.databases_[SessionWorld::databaseOf(kind, group)] = route(group, consistency, timeout, staleness, priority, target);
         };
-        add("ledger", Consistency::Primary, std::chrono::seconds(1), {}, 1);
-        add("history", Consistency::BoundedStaleness, std::chrono::seconds(3), std::chrono::milliseconds(1500), 2);
-        add("dispatch", Consistency::ReadYourWrites, std::chrono::seconds(1), std::chrono::milliseconds(2500), 2);
+        using std::chrono::milliseconds;
+        using std::chrono::seconds;
+        add("ledger", Consistency::Primary, seconds(1), {}, 1, milliseconds(200));
+        add("history", Consistency::BoundedStaleness, seconds(3), milliseconds(1500), 2, milliseconds(800));
+        add("dispatch", Consistency::ReadYourWrites, seconds(1), milliseconds(2500), 2, milliseconds(400));
         configuration.services_[serviceOf(group)] = ServiceLimits{config.maxConnections_, config.syncReplicas_};
     }
     if (config.organisations_ != 0) {
