--- a/src/GroupPressure.cpp
+++ b/src/GroupPressure.cpp
@@ -29,7 +29,7 @@
 /** A mean wait that is below this fraction of the previous one decreases: the last step takes effect. */
 constexpr double decreasingFactor = 0.9;
 /** A mean wait that is above this fraction of the previous one grows so fast that the next step does not wait until the effect of the last one is seen. */
-constexpr double growingFactor = 1.5;
+constexpr double growingFactor = 1.1;
 /** Fraction of the point where the pressure began at which the level stays: near saturation, waits are long already. */
 constexpr double ceilingFraction = 0.9;
 /** Number of windows for which the level stays below the point where the pressure began, at first and after several relapses. */
@@ -55,7 +55,7 @@
 void addWindow(PriorityDemand &demand, const PriorityTotals &increase)
 {
     const auto arrived = static_cast<double>(increase.started_ + increase.shed_);
-    demand.perWindow_ += demandWeight * (arrived - demand.perWindow_);
+    demand.perWindow_ += (demand.perWindow_ == 0 ? 1 : demandWeight) * (arrived - demand.perWindow_);
     demand.started_ += increase.started_;
     demand.waitTime_ += increase.waitTime_;
     ++demand.windows_;
@@ -135,11 +135,12 @@
     return admitted;
 }
 
-/** The level that admits \p admitted operations per window, but limits no priority that is more urgent than \p limit. */
+/** The level that admits \p admitted operations per window, but limits neither the most urgent priority nor one that is more urgent than \p limit. */
 AdmissionLevel levelFor(absl::Span<const PresentPriority> present, double admitted, unsigned limit)
 {
+    const unsigned mostUrgent = std::max(limit, present[1].priority_);
     AdmissionLevel level{.priority_ = present.back().priority_, .fraction_ = 1};
-    for (auto lowest = present.rbegin(); lowest != present.rend() && lowest->priority_ >= limit; ++lowest) {
+    for (auto lowest = present.rbegin(); lowest != present.rend() && lowest->priority_ >= mostUrgent; ++lowest) {
         level = {.priority_ = lowest->priority_, .fraction_ = 1};
         const double excess = admittedDemand(present, level) - admitted;
         level.fraction_ = std::clamp(1 - excess / lowest->perWindow_, minFraction, 1.0);
@@ -167,25 +168,25 @@
     pool.rising_ = false;
 }
 
-void lowerLevel(PoolPressure &pool, absl::Span<const PresentPriority> present, unsigned pressed)
+/** Lowers the number of admitted operations, unless the level is already as low as \p pressed justifies. */
+void lowerAdmitted(PoolPressure &pool, absl::Span<const PresentPriority> present, unsigned pressed)
 {
-    const double admitted = pool.level_ ? admittedDemand(present, *pool.level_) : totalDemand(present);
+    const double total = totalDemand(present);
+    const double admitted = std::min(pool.admitted_.value_or(total), total);
     if (pool.rising_) {
         recordCeiling(pool, admitted);
     }
-    const unsigned limit = std::max(present[1].priority_, pressed);
-    const AdmissionLevel lower = levelFor(present, admitted * loweringFactor, limit);
-    const bool isLower = !pool.level_ || admittedDemand(present, lower) < admitted;
-    if (isLower) {
-        pool.level_ = lower;
+    const AdmissionLevel lower = levelFor(present, admitted * loweringFactor, pressed);
+    if (admittedDemand(present, lower) < admitted) {
+        pool.limit_ = pool.admitted_ ? std::min(pool.limit_, pressed) : pressed;
+        pool.admitted_ = admittedDemand(present, lower);
     }
 }
 
-void raiseLevel(PoolPressure &pool, absl::Span<const PresentPriority> present)
+void raiseAdmitted(PoolPressure &pool, absl::Span<const PresentPriority> present)
 {
-    const double total = totalDemand(present);
-    const double step = raisingStep * total;
-    const double admitted = admittedDemand(present, *pool.level_) + step;
+    const double step = raisingStep * totalDemand(present);
+    const double admitted = *pool.admitted_ + step;
     if (pool.ceiling_ && admitted > *pool.ceiling_ * ceilingFraction) {
         if (pool.heldWindows_++ < pool.holdWindows_) {
             return;
@@ -194,11 +195,20 @@
         pool.heldWindows_ = pool.holdWindows_ - effectWindows;
     }
     pool.rising_ = true;
-    if (admitted >= total) {
+    pool.admitted_ = admitted;
+}
+
+/** Derives the level from the number of operations to admit and the demand. */
+void deriveLevel(PoolPressure &pool, absl::Span<const PresentPriority> present)
+{
+    if (!pool.admitted_ || *pool.admitted_ >= totalDemand(present)) {
+        pool.rising_ = true;
+        pool.admitted_.reset();
         pool.level_.reset();
-    } else {
-        pool.level_ = levelFor(present, admitted, present[1].priority_);
+        return;
     }
+    pool.level_ = levelFor(present, *pool.admitted_, pool.limit_);
+    pool.level_->recovery_ = recoveryTime(present, *pool.level_);
 }
 
 } // namespace
@@ -211,21 +221,24 @@
     const Verdict verdict = judgeWindow(pool, increases, targets);
     const std::vector<PresentPriority> present = presentPriorities(pool);
     if (present.size() < 2) {
+        pool.admitted_.reset();
         pool.level_.reset(); // There is no less urgent priority to limit.
         return;
     }
+    if (pool.level_ && !pool.admitted_) {
+        pool.admitted_ = admittedDemand(present, *pool.level_); // The level of a previous leader.
+        pool.limit_ = pool.level_->priority_;
+    }
     const bool worsens = verdict.strain_ > pool.strain_ * (pool.loweredLast_ ? growingFactor : decreasingFactor);
     pool.strain_ = verdict.strain_;
     pool.loweredLast_ = verdict.pressed_ && (worsens || pool.rising_);
-    if (pool.loweredLast_) {
-        lowerLevel(pool, present, *verdict.pressed_);
-    } else if (pool.level_ && verdict.calm_) {
-        raiseLevel(pool, present);
-    }
     pool.windowsWithoutPressure_ = verdict.pressed_ ? 0 : pool.windowsWithoutPressure_ + 1;
-    if (pool.level_) {
-        pool.level_->recovery_ = recoveryTime(present, *pool.level_);
+    if (pool.loweredLast_) {
+        lowerAdmitted(pool, present, *verdict.pressed_);
+    } else if (pool.admitted_ && verdict.calm_) {
+        raiseAdmitted(pool, present);
     }
+    deriveLevel(pool, present);
 }
 
 double admittedFraction(const AdmissionLevel &level, unsigned priority)
--- a/src/GroupPressure.h
+++ b/src/GroupPressure.h
@@ -6,7 +6,8 @@
  * thresholds the level stays. Each VM admits operations according to the level and refuses the others at once, while their clients still have time to retry.
  *
  * A level takes effect only after a report and an advice. It would oscillate if it fell until the waits are short and rose until they are long again. So it is
- * not lowered while the waits already decrease, and it is not raised to where the pressure last began without a pause, which grows with each relapse.
+ * not lowered while the waits already decrease, and it is not raised to where the pressure last began without a pause, which grows with each relapse. The
+ * controller sets the number of operations to admit; the level follows from it and from the demand, which grows when clients retry.
  */
 #pragma once
 
@@ -41,6 +42,8 @@
 {
     std::map<unsigned, PriorityDemand> demand_; ///< Keyed by priority.
     std::optional<AdmissionLevel> level_; ///< Absent: all operations are admitted.
+    std::optional<double> admitted_; ///< Operations per window that the level is to admit.
+    unsigned limit_ = 0; ///< Most urgent priority that waited too long since the level was last absent; only this and less urgent ones are limited.
     double strain_ = 0; ///< Longest mean wait of a priority in the last window, as a fraction of its target.
     bool loweredLast_ = false; ///< The level was lowered at the end of the last window.
     bool rising_ = true; ///< The level was raised, or absent, since it was last lowered.
--- a/src/LoadShedding.cpp
+++ b/src/LoadShedding.cpp
@@ -88,8 +88,8 @@
     } else if (!pool.level_ && pool.shedSince_) {
         const Time since = *std::exchange(pool.shedSince_, std::nullopt);
         if (std::exchange(pool.isLogged_, false)) {
-            out.emplace_back(WriteLog{LogNumber::LoadSheddingEnded,
-                                      {{"group", group.id_.value()}, {"pool", nameOf(kind)}, {"ms", absl::StrCat(toMillis(now - since))}}});
+            out.emplace_back(
+                WriteLog{LogNumber::LoadSheddingEnded, {{"group", group.id_.value()}, {"pool", nameOf(kind)}, {"ms", absl::StrCat(toMillis(now - since))}}});
         }
     }
 }
