--- a/src/GroupAdvice.cpp
+++ b/src/GroupAdvice.cpp
@@ -1,5 +1,6 @@
 #include "GroupAdvice.h"
 
+#include "LoadShedding.h"
 #include "MemberEjections.h"
 #include "ProxyState.h"
 #include "SessionLookup.h"
@@ -65,6 +66,7 @@
     GroupAdvice advice;
     advice.lagging_ = laggingMembers(leader.reports_, now);
     advice.ejected_ = reviewEjections(state, group, increases.members_, now, out);
+    adviseLevels(*state.sessions_, group, increases, advice, now, out);
     receiveAdvice(state, group, advice, now);
 }
 
--- a/src/LogEvents.h
+++ b/src/LogEvents.h
@@ -73,6 +73,8 @@
     KeyRefused = 508,
     KeysRevoked = 509,
     HolderSilent = 512,
+    LoadSheddingStarted = 510,
+    LoadSheddingEnded = 511,
     StoreLost = 601,
     StoreRegained = 602,
     StoreObjectUnreadable = 603,
--- a/src/OrganisationQuota.cpp
+++ b/src/OrganisationQuota.cpp
@@ -251,6 +251,7 @@
         ClientSession &session = *findSession(state, wait.session_);
         if (left > 0) {
             --left;
+            session.run_->admittedAt_ = now;
             enqueueStatement(state, session);
             continue;
         }
--- a/src/SessionPolicies.h
+++ b/src/SessionPolicies.h
@@ -26,6 +26,7 @@
     bool forwardsReads_ = true; ///< Forwards reads to the VM that keeps connections for their organisation; see ReadForwarding.h.
     bool sharesFairly_ = true; ///< Shares the members between organisations by their configured rates; see StatementQueue.h.
     bool ejectsOutliers_ = true; ///< Avoids members that fail or delay more statements than the others of their group; see OutlierEjection.h.
+    bool shedsUnderPressure_ = true; ///< Limits the operations of less urgent priorities while those of a group wait too long; see GroupPressure.h.
     bool operator==(const SessionPolicies &) const = default;
 };
 
--- a/src/SessionStatements.cpp
+++ b/src/SessionStatements.cpp
@@ -1,6 +1,7 @@
 #include "SessionStatements.h"
 
 #include "GroupInterest.h"
+#include "LoadShedding.h"
 #include "MemberConnections.h"
 #include "MemberEjections.h"
 #include "OrganisationQuota.h"
@@ -52,6 +53,9 @@
     useGroup(state, session, now);
     if (!session.pinned_) {
         session.run_->first_ = true;
+        if (refuseIfShed(state, session, now, out)) {
+            return;
+        }
         admitOperation(state, session, now, out);
         return;
     }
@@ -278,6 +282,9 @@
         return;
     }
     if (!run.sent_) {
+        if (!isAwaitingPermit(*state.sessions_, *session)) {
+            recordWait(state, *session, now);
+        }
         refuseStatement(state, *session, ReplyCode::Retry, retryAfterText(defaultRetryDelay, waitReason(state, *session, now)), now, out);
         return;
     }
