--- a/test/support/SessionWorld.cpp
+++ b/test/support/SessionWorld.cpp
@@ -418,6 +418,11 @@
     return found == lastRuns_.end() ? Time() : found->second;
 }
 
+Duration SessionWorld::slotTime() const
+{
+    return slotTime_;
+}
+
 std::vector<std::string> SessionWorld::logged(LogNumber number) const
 {
     std::vector<std::string> lines;
--- a/test/support/SessionWorld.h
+++ b/test/support/SessionWorld.h
@@ -171,6 +171,8 @@
     [[nodiscard]] const std::vector<std::string> &violations() const;
     /** Time at which the member last ran a client's statement that was the first of its operation. */
     [[nodiscard]] Time lastRun(unsigned member) const;
+    /** Total time for which statements and connection attempts have occupied or will occupy slots; zero if slots are unlimited. */
+    [[nodiscard]] Duration slotTime() const;
     /** Returns the log events of one number, as "MS vm: field=value ...". */
     [[nodiscard]] std::vector<std::string> logged(LogNumber number) const;
     /** Returns the notes of the simulation and all log events, oldest first. */
@@ -317,6 +319,7 @@
     std::set<unsigned> storeCuts_;
     std::set<unsigned> fullMembers_;
     std::map<unsigned, std::vector<Time>> slots_; ///< Time at which each slot becomes free, keyed by member.
+    Duration slotTime_{};
     std::map<std::string, Duration> work_; ///< Execution time where it is not workTime_, keyed by statement id.
     OnAnswer onAnswer_;
     std::vector<WorldClient> clients_;
--- a/test/support/SessionWorldMembers.cpp
+++ b/test/support/SessionWorldMembers.cpp
@@ -87,6 +87,7 @@
     std::vector<Time> &free = slots_.try_emplace(member, config_.slots_).first->second;
     const auto first = std::ranges::min_element(free);
     *first = std::max(arrives, *first) + work;
+    slotTime_ += work;
     return *first;
 }
 
