--- a/src/LoadShedding.cpp
+++ b/src/LoadShedding.cpp
@@ -43,6 +43,14 @@
     });
 }
 
+/** Rank of the session's read among those that may use the primary; stays the same while the read waits. */
+double rankAtPrimary(const ClientSession &session)
+{
+    const auto arrived = static_cast<std::uint64_t>(session.run_->arrived_.time_since_epoch().count());
+    std::mt19937_64 random(session.key_.value() ^ arrived);
+    return std::uniform_real_distribution<double>()(random);
+}
+
 /** The shortest target of each priority of \p service; priorities without a target are left out. */
 std::vector<PriorityTarget> targetsOf(const SessionConfiguration &configuration, const ServiceId &service)
 {
@@ -221,7 +229,9 @@
 
 bool leavesPrimary(const SessionServiceState &sessions, const SessionGroup &group, const ClientSession &session, Time now)
 {
-    return levelOf(sessions, group, MemberPool::Primary, now) != nullptr && !needsPrimary(session, *session.run_) && !isMostUrgent(sessions, session);
+    const AdmissionLevel *level = levelOf(sessions, group, MemberPool::Primary, now);
+    return level != nullptr && !needsPrimary(session, *session.run_) && !isAdmitted(*level, session.route_.priority_, rankAtPrimary(session))
+           && !isMostUrgent(sessions, session);
 }
 
 Time openingAllowedAt(const SessionServiceState &sessions, const SessionGroup &group, const MemberState &member, const ClientSession &session, Time now)
