--- a/src/LoadShedding.cpp
+++ b/src/LoadShedding.cpp
@@ -246,7 +246,7 @@
         return true;
     }
     const auto isOpening = [&](ConnectionId id) { return sessions.connections_.at(id).use_ == MemberConnectionUse::Opening; };
-    return std::cmp_less(std::ranges::count_if(member.connections_, isOpening), openingsAllowed(group.waiting_.size()));
+    return std::cmp_less(std::ranges::count_if(member.connections_, isOpening), openingsAllowed(countWaiting(group.waiting_)));
 }
 
 void recordFullRefusal(const SessionServiceState &sessions, MemberState &member, Duration backoff, Time now)
--- a/src/MemberEjections.cpp
+++ b/src/MemberEjections.cpp
@@ -183,11 +183,11 @@
 void closeEjected(ProxyState &state, const MemberState &member, Time now, Effects &out)
 {
     const SessionGroup *group = findGroup(state, member.entry_.service_);
-    if (member.idle_.empty() || group == nullptr || !ejectsOutliers(state, *group) || currentAdvice(group->advice_, now) == nullptr) {
+    if (member.idle_.all_.empty() || group == nullptr || !ejectsOutliers(state, *group) || currentAdvice(group->advice_, now) == nullptr) {
         return;
     }
     if (group->authority_.primary_ != member.entry_.id_ && useOf(*group, member, now) == MemberUse::Avoid) {
-        for (const ConnectionId id : std::vector<ConnectionId>(member.idle_)) {
+        for (const ConnectionId id : std::vector<ConnectionId>(member.idle_.all_)) {
             closeMemberConnection(state, id, out);
         }
     }
