--- a/src/StatementDispatch.cpp
+++ b/src/StatementDispatch.cpp
@@ -13,7 +13,6 @@
 #include "StatementSteps.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace Figward {
 
