--- a/src/StatementDispatch.cpp
+++ b/src/StatementDispatch.cpp
@@ -16,7 +16,6 @@
 #include "StatementSteps.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace Figward {
 
