--- a/src/SessionMetrics.cpp
+++ b/src/SessionMetrics.cpp
@@ -202,11 +202,7 @@
 void SessionMetrics::observeLevels(const SessionGroup &group, Time now)
 {
     const GroupAdvice *advice = currentAdvice(group.advice_, now);
-    const bool isLimited = advice != nullptr && (advice->primaryLevel_ || advice->replicaLevel_);
-    const auto [entry, isNew] = isLimited ? levels_.try_emplace(group.id_) : std::pair(levels_.find(group.id_), false);
-    if (entry == levels_.end()) {
-        return;
-    }
+    const auto [entry, isNew] = levels_.try_emplace(group.id_);
     if (isNew) {
         entry->second = {&admissionLevels_.Add({{"group", group.id_.value()}, {"pool", "primary"}}),
                          &admissionLevels_.Add({{"group", group.id_.value()}, {"pool", "replicas"}})};
--- a/src/SessionMetrics.h
+++ b/src/SessionMetrics.h
@@ -69,7 +69,7 @@
     std::array<std::array<std::array<prometheus::Counter *, codes>, 2>, routes> statementsByRoute_{};
     std::map<MemberId, std::array<prometheus::Gauge *, 2>> members_; ///< Connections in use and idle, for each known member.
     std::map<ServiceId, prometheus::Gauge *> groups_;
-    std::map<ServiceId, std::array<prometheus::Gauge *, 2>> levels_; ///< Of the primary and of the replicas, for each group that has had a level.
+    std::map<ServiceId, std::array<prometheus::Gauge *, 2>> levels_; ///< Of the primary and of the replicas, for each group.
 };
 
 } // namespace Figward
