--- a/src/MemberEjections.cpp
+++ b/src/MemberEjections.cpp
@@ -16,6 +16,8 @@
 
 /** Time after its arrival for which a statement waits for a connection to the member that it probes. */
 constexpr Duration maxProbeWait = std::chrono::milliseconds(100);
+/** Time after its arrival from which a statement may use an ejected member if no other has room for it: half of the shortest latency targets. */
+constexpr Duration maxWithheldTime = std::chrono::milliseconds(50);
 
 bool ejectsOutliers(const ProxyState &state, const SessionGroup &group)
 {
@@ -172,8 +174,11 @@
         return;
     }
     const auto isWithheld = [&](const PlacementCandidate &candidate) { return candidate.ejected_ || candidate.member_ == run.failedAt_; };
+    const bool mayWait = now - run.arrived_ < maxWithheldTime;
     const auto isUsable = [&](const PlacementCandidate &candidate) {
-        return !isWithheld(candidate) && !candidate.lagging_ && !candidate.leaving_ && !isUnavailable(*findMember(state, candidate.member_));
+        const bool hasRoom = candidate.idleConnection_ || candidate.mayOpen_;
+        return !isWithheld(candidate) && (mayWait || hasRoom) && !candidate.lagging_ && !candidate.leaving_
+               && !isUnavailable(*findMember(state, candidate.member_));
     };
     if (std::ranges::any_of(candidates, isUsable)) {
         std::erase_if(candidates, isWithheld);
--- a/src/MemberEjections.h
+++ b/src/MemberEjections.h
@@ -23,7 +23,7 @@
 
 /**
  * Removes from \p candidates the members that the statement of \p session must not use because of an ejection or an earlier failure, unless no other reachable
- * member may run it. If the statement probes a member, only that is left.
+ * member may run it, or none has room for it after a short wait. If the statement probes a member, only that is left.
  */
 void withholdEjected(ProxyState &state, ClientSession &session, const SessionGroup &group, std::vector<PlacementCandidate> &candidates, Time now);
 /** Closes the idle connections to \p member while it is ejected and not the primary. */
--- a/src/OutlierEjection.cpp
+++ b/src/OutlierEjection.cpp
@@ -32,11 +32,13 @@
 constexpr Duration minDelay = std::chrono::milliseconds(30);
 
 /**
- * Maximum mean answer time of the other members for which a member is ejected, and for which it stays so. A read counts as failed after 450 ms: if the others
- * are close to that, the load needs all members, and differences between them come from the lengths of their queues.
+ * Maximum mean answer time of the other members for which a member is ejected, and for which it stays so. The shortest latency targets are 100 ms: above them the
+ * load needs all members, and differences between these come from the lengths of their queues.
  */
-constexpr Duration maxOthersTimeToEject = std::chrono::milliseconds(150);
-constexpr Duration maxOthersTime = std::chrono::milliseconds(300);
+constexpr Duration maxOthersTimeToEject = std::chrono::milliseconds(100);
+constexpr Duration maxOthersTime = std::chrono::milliseconds(150);
+/** Time for which a member that had to be used again for the load is not ejected; otherwise the load of the others would oscillate. */
+constexpr Duration neededTime = std::chrono::seconds(10);
 
 constexpr Duration firstEjectionTime = std::chrono::milliseconds(2000);
 constexpr Duration maxEjectionTime = std::chrono::milliseconds(8000);
@@ -274,6 +276,7 @@
         const bool isOverloaded = compare(history, member.member_).othersMeanTime_ > maxOthersTime;
         if (isOverloaded || !mayBeSpared(history, members, member.member_)) {
             changes.push_back(returnMember(history, member.member_, EjectionReason::Needed, now));
+            history.members_[member.member_].neededUntil_ = now + neededTime;
         }
     }
 }
@@ -282,7 +285,8 @@
 {
     std::vector<EjectionChange> outliers;
     for (const ReviewedMember &member : members) {
-        if (history.members_[member.member_].phase_ != EjectionPhase::InUse) {
+        const MemberOutcomes &outcomes = history.members_[member.member_];
+        if (outcomes.phase_ != EjectionPhase::InUse || now < outcomes.neededUntil_) {
             continue;
         }
         const OutcomeComparison compared = compare(history, member.member_);
--- a/src/OutlierEjection.h
+++ b/src/OutlierEjection.h
@@ -40,6 +40,7 @@
     EjectionPhase phase_ = EjectionPhase::InUse;
     Time phaseEnds_; ///< Start of probing; while probing, its end if the group has too few statements to prove the member.
     Duration ejectionTime_{}; ///< Length of the last ejection.
+    Time neededUntil_; ///< Time until which the load is taken to need the member, however it behaves.
     std::optional<Time> returnedAt_; ///< Time when the member was last used again after an ejection.
 };
 
--- a/test/correctness/OutliersAreEjected.cpp
+++ b/test/correctness/OutliersAreEjected.cpp
@@ -319,14 +319,19 @@
 TEST(OutliersAreEjected, notWhileTheOthersAreOverloaded)
 {
     Group group;
-    group.review({answers(0, 40, 0, milliseconds(200)), answers(1, 40, 0, milliseconds(200)), answers(2, 20, 20)});
+    group.review({answers(0, 40, 0, milliseconds(120)), answers(1, 40, 0, milliseconds(120)), answers(2, 20, 20)});
     EXPECT_THAT(group.changes_, IsEmpty());
     Group later = withEjection();
-    later.review({answers(0, 40, 0, milliseconds(200)), answers(1, 40, 0, milliseconds(200))});
+    later.review({answers(0, 40, 0, milliseconds(120)), answers(1, 40, 0, milliseconds(120))});
     EXPECT_EQ(later.phase(2), EjectionPhase::Ejected);
-    later.review({answers(0, 200, 0, milliseconds(400)), answers(1, 200, 0, milliseconds(400))});
+    later.review({answers(0, 200, 0, milliseconds(200)), answers(1, 200, 0, milliseconds(200))});
     EXPECT_EQ(later.phase(2), EjectionPhase::InUse);
     EXPECT_EQ(later.changes_.back().reason_, EjectionReason::Needed);
+    later.behaviours_[2].failed_ = 0.45;
+    later.run(seconds(9));
+    EXPECT_EQ(later.phase(2), EjectionPhase::InUse) << "the load of the others would rise again";
+    later.run(seconds(3));
+    EXPECT_NE(later.phase(2), EjectionPhase::InUse);
 }
 
 TEST(OutliersAreEjected, alsoByTheNextLeader)
