Load shedding: off by default; delays of few operations and idle openings are not load

Waits now count up to half of the target, and calm is three sixteenths. A test of ejection follows the index of idle connections.

--- a/src/GroupPressure.cpp
+++ b/src/GroupPressure.cpp
@@ -8,9 +8,12 @@
 namespace {
 
 /** Fraction of its latency target above which the mean wait of a priority is too long: the work itself needs most of the target. */
-constexpr int pressureFraction = 4;
-/** The same fraction below which it is short. Half of the above leaves a range in which the level is stable. */
-constexpr int calmFraction = 8;
+constexpr double pressureFraction = 0.25;
+/**
+ * The same fraction below which it is short. The opening of a connection at an idle member must count as short, even for the shortest targets; otherwise a
+ * level would stay after the load has ended.
+ */
+constexpr double calmFraction = 0.1875;
 /** Fraction of the admitted operations that remains after the level was lowered once. */
 constexpr double loweringFactor = 0.8;
 /** Fraction of all operations by which the level is raised at a time. */
@@ -79,9 +82,10 @@
     }
     const Duration mean = demand.waitTime_ / static_cast<std::int64_t>(demand.started_);
     forgetOperations(demand);
-    verdict.calm_ = verdict.calm_ && mean < target / calmFraction;
-    verdict.strain_ = std::max(verdict.strain_, std::chrono::duration<double>(mean) / target);
-    if (mean > target / pressureFraction) {
+    const double strain = std::chrono::duration<double>(mean) / target;
+    verdict.calm_ = verdict.calm_ && strain < calmFraction;
+    verdict.strain_ = std::max(verdict.strain_, strain);
+    if (strain > pressureFraction) {
         verdict.pressed_ = std::min(verdict.pressed_.value_or(priority), priority);
     }
 }
--- a/src/LoadShedding.cpp
+++ b/src/LoadShedding.cpp
@@ -16,6 +16,11 @@
 
 namespace {
 
+/**
+ * A wait counts at most as this fraction of the latency target. The mean is then too long only if many operations wait, as under load, and not if a fault
+ * delays a few of them for long.
+ */
+constexpr int maxCountedWait = 2;
 /** Minimum interval between two reports in the log that a level of the same pool has started. */
 constexpr Duration logInterval = std::chrono::seconds(10);
 
@@ -160,7 +165,7 @@
     }
     PriorityTotals &totals = totalsOf(observe(*group, now), pool, session.route_.priority_);
     ++totals.started_;
-    totals.waitTime_ += now - std::max(run.arrived_, run.admittedAt_);
+    totals.waitTime_ += std::min(now - std::max(run.arrived_, run.admittedAt_), session.route_.target_ / maxCountedWait);
 }
 
 namespace {
--- a/src/SessionPolicies.h
+++ b/src/SessionPolicies.h
@@ -8,7 +8,7 @@
 
 namespace Figward {
 
-/** Enabled policies; in production, all of them. */
+/** Enabled policies; the settings enable all but shedsUnderPressure_ by default. */
 struct SessionPolicies
 {
     bool refusesWhenCutOff_ = true; ///< Refuses statements at once if no reachable member may run them; see CutOff.h.
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -33,9 +33,9 @@
 
 constexpr std::int64_t maxDrainMillis = 600000;
 
-constexpr FieldInfo policy(std::string_view name, std::string_view meaning)
+constexpr FieldInfo policy(std::string_view name, std::string_view meaning, std::string_view enabled = "true")
 {
-    return {name, FieldType::Boolean, "", false, "true", 0, 0, meaning};
+    return {name, FieldType::Boolean, "", false, enabled, 0, 0, meaning};
 }
 
 constexpr std::array policiesFields{
@@ -52,7 +52,7 @@
     policy("forward_reads", "Where connections are scarce, a read is forwarded to the VM of the zone that keeps connections for its organisation."),
     policy("share_lag", "Where connections are scarce, a replica that refused a read of any VM as lagging far behind is avoided by all VMs."),
     policy("admit_urgent_first", "An organisation that is short of quota uses it for its most urgent operations first."),
-    policy("shed_under_pressure", "While statements of a group wait too long, operations of less urgent priorities are refused at once."),
+    policy("shed_under_pressure", "While statements of a group wait too long, operations of less urgent priorities are refused at once.", "false"),
     policy("eject_outliers", "Members that fail or delay more statements than the others of their group are avoided."),
     policy("share_fairly", "Waiting statements of one priority share the members by the configured rates of their organisations."),
 };
@@ -69,7 +69,7 @@
               1000,
               maxDrainMillis,
               "Time from the termination signal until the platform kills the process."},
-    FieldInfo{"policies", FieldType::Object, "", false, "", 0, 0, "Switches policies off, for experiments; all are on if absent.", &policiesObject},
+    FieldInfo{"policies", FieldType::Object, "", false, "", 0, 0, "Switches policies on or off; each has its default if absent.", &policiesObject},
 };
 
 constexpr std::array settingsFields{
@@ -124,6 +124,7 @@
     SessionPolicies policies;
     const JsonNode *node = findMember(sessions, "policies");
     if (node == nullptr) {
+        policies.shedsUnderPressure_ = false;
         return policies;
     }
     const auto isEnabled = [&](std::string_view name) { return booleanField(*node, policiesObject, name); };
--- a/test/error/SessionMemberIsFaulty.cpp
+++ b/test/error/SessionMemberIsFaulty.cpp
@@ -85,7 +85,7 @@
     unsigned idle = 0;
     for (unsigned vm = 0; vm < vms; ++vm) {
         const SessionServiceState &sessions = *world.vm(vm).sessions_;
-        for (const ConnectionId id : sessions.members_.at(SessionWorld::memberId(member)).idle_) {
+        for (const ConnectionId id : sessions.members_.at(SessionWorld::memberId(member)).idle_.all_) {
             idle += world.now() - sessions.connections_.at(id).idleSince_ > reviewInterval ? 1 : 0;
         }
     }
