--- a/src/LoadShedding.cpp
+++ b/src/LoadShedding.cpp
@@ -67,6 +67,7 @@
         }
     }
     std::vector<PriorityTarget> targets;
+    targets.reserve(shortest.size());
     for (const auto &[priority, target] : shortest) {
         targets.push_back({priority, target});
     }
--- a/src/MemberEjections.cpp
+++ b/src/MemberEjections.cpp
@@ -9,6 +9,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <cmath>
 
 namespace Figward {
 
@@ -66,7 +67,7 @@
 WriteLog describe(const SessionGroup &group, const EjectionChange &change)
 {
     constexpr double percent = 100;
-    const auto percentOf = [](double share) { return absl::StrCat(static_cast<int>(share * percent + 0.5)); };
+    const auto percentOf = [](double share) { return absl::StrCat(std::lround(share * percent)); };
     WriteLog line{change.ejected_ ? LogNumber::MemberEjected : LogNumber::MemberReturned,
                   {{"group", group.id_.value()},
                    {"member", change.member_.value()},
