--- a/src/ConnectionPlan.cpp
+++ b/src/ConnectionPlan.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace Figward {
 
@@ -28,18 +29,14 @@
  * connect.
  */
 constexpr Duration maxIdleTimeout = std::chrono::milliseconds(1000);
+/** Fraction of a member's connections that may be idle where reads are forwarded: the others are for running statements, transactions and openings. */
+constexpr double maxHolderIdleFraction = 0.5;
+/** Maximum idle time of a connection there, however rarely this VM uses the member. */
+constexpr Duration maxHolderIdleTimeout = std::chrono::milliseconds(2000);
 /** Maximum probability, however few VMs there are, with which a statement should find an idle temporary connection. */
 constexpr double maxReuse = 0.95;
 /** Minimum use rate assumed for the idle time: the rate of a VM is unknown until it has used the member a few times, and all VMs may start at once. */
 constexpr double minPerSecond = 1;
-/** Decay time of the average use rate: it follows a burst within seconds, and at one use per second still covers five uses. */
-constexpr double useDecaySeconds = 5;
-
-double secondsBetween(Time from, Time to)
-{
-    return std::chrono::duration<double>(to - from).count();
-}
-
 std::uint64_t assignmentWeight(const MemberId &member, VmId vm)
 {
     return rendezvousWeight(GroupId(member.value()), vm);
@@ -55,6 +52,9 @@
 ConnectionPlan planConnections(const ConnectionDemand &demand)
 {
     if (demand.allowsTemporary_ && areConnectionsScarce(demand.limit_, demand.vms_)) {
+        if (demand.forwardsReads_) {
+            return {0, std::min(maxTemporary, std::max(1U, demand.limit_)), holderIdleTimeout(demand.limit_, demand.vms_, demand.perSecond_), true};
+        }
         return {demand.persistent_ ? 1U : 0U,
                 std::min(maxTemporary, std::max(1U, demand.limit_)),
                 temporaryIdleTimeout(demand.limit_, demand.vms_, demand.perSecond_),
@@ -74,15 +74,12 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::min(idleSeconds, maxSeconds)));
 }
 
-void recordUse(UseRate &rate, Time now)
+Duration holderIdleTimeout(unsigned limit, unsigned vms, double perSecond)
 {
-    rate.perSecond_ = usesPerSecond(rate, now) + 1 / useDecaySeconds;
-    rate.at_ = now;
-}
-
-double usesPerSecond(const UseRate &rate, Time now)
-{
-    return rate.perSecond_ * std::exp(-secondsBetween(rate.at_, now) / useDecaySeconds);
+    const double usesOfAll = std::max(1U, vms) * perSecond;
+    const double maxSeconds = std::chrono::duration<double>(maxHolderIdleTimeout).count();
+    const double idleSeconds = maxHolderIdleFraction * limit / std::max(usesOfAll, std::numeric_limits<double>::min());
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::min(idleSeconds, maxSeconds)));
 }
 
 unsigned maxPersistentConnections(unsigned limit)
--- a/src/MemberConnections.cpp
+++ b/src/MemberConnections.cpp
@@ -2,6 +2,8 @@
 
 #include "ConnectionSharing.h"
 #include "Event.h"
+#include "LoadShedding.h"
+#include "MemberEjections.h"
 #include "ProxyState.h"
 #include "SessionLookup.h"
 #include "StatementAnswers.h"
@@ -47,7 +49,7 @@
     connection.idleSince_ = now;
     MemberState *member = findMember(state, connection.member_);
     if (member != nullptr && !connection.isControl_) {
-        member->idle_.push_back(connection.id_);
+        addIdle(member->idle_, connection.id_, connection.organisation_);
     }
 }
 
@@ -57,11 +59,13 @@
     const Duration jitter(static_cast<std::int64_t>(state.random_() % static_cast<std::uint64_t>(fullBackoff.count())));
     const Duration backoff = end == ConnectionEnd::Refused ? fullBackoff + jitter : openBackoff;
     member.openAfter_ = now + backoff * (1U << doublings);
+    member.urgentOpenAfter_ = member.openAfter_;
     ++member.openFailures_;
     member.connectionRefused_ = end == ConnectionEnd::Unreachable;
     if (end == ConnectionEnd::Refused) {
         // A member that refuses as full is alive and reachable.
         member.refusedAt_ = now;
+        recordFullRefusal(*state.sessions_, member, backoff, now);
         recordResponse(member);
     } else {
         member.unreachable_ = true;
@@ -81,7 +85,7 @@
                                {"failures", absl::StrCat(member.openFailures_)},
                                {"for", isControl ? "reports" : "statements"},
                                {"held", absl::StrCat(member.connections_.size())},
-                               {"idle", absl::StrCat(member.idle_.size())},
+                               {"idle", absl::StrCat(member.idle_.all_.size())},
                                {"reports", member.control_ ? "1" : "0"},
                                {"allowed", known ? absl::StrCat(planFor(sessions, member, now).maxOpen_) : "-"},
                                {"vms", absl::StrCat(sessions.entryVms_)}}});
@@ -150,11 +154,6 @@
     }
 }
 
-void removeFrom(std::vector<ConnectionId> &idle, ConnectionId connection)
-{
-    std::erase(idle, connection);
-}
-
 void removeConnection(ProxyState &state, ConnectionId id)
 {
     const auto found = state.sessions_->connections_.find(id);
@@ -163,7 +162,7 @@
     }
     if (MemberState *member = findMember(state, found->second.member_)) {
         member->connections_.erase(id);
-        removeFrom(member->idle_, id);
+        removeIdle(member->idle_, id, found->second.organisation_);
         if (member->control_ == id) {
             member->control_.reset();
         }
@@ -221,10 +220,10 @@
     if (member.control_) {
         return findConnection(state, *member.control_);
     }
-    if (!member.idle_.empty()) {
-        const ConnectionId id = member.idle_.back();
-        member.idle_.pop_back();
-        return findConnection(state, id);
+    if (!member.idle_.all_.empty()) {
+        MemberConnection *connection = findConnection(state, member.idle_.all_.back());
+        removeIdle(member.idle_, connection->id_, connection->organisation_);
+        return connection;
     }
     if (now >= member.openAfter_) {
         openControlConnection(state, member, now, out);
@@ -276,16 +275,16 @@
 /** Closes one connection above the idle limit, and the control connection, if their idle timeouts have expired. */
 void closeSurplus(ProxyState &state, MemberState &member, Time now, Effects &out)
 {
-    if (member.idle_.empty() && !member.control_) {
+    if (member.idle_.all_.empty() && !member.control_) {
         return;
     }
     const ConnectionPlan plan = planFor(*state.sessions_, member, now);
     closeIdleControl(state, member, plan.temporary_ ? scarceControlIdleTimeout : controlIdleTimeout, now, out);
-    if (member.idle_.empty()) {
+    if (member.idle_.all_.empty()) {
         return;
     }
-    if (member.connections_.size() > plan.maxIdle_ && now - findConnection(state, member.idle_.front())->idleSince_ > plan.idleTimeout_) {
-        closeMemberConnection(state, member.idle_.front(), out);
+    if (member.connections_.size() > plan.maxIdle_ && now - findConnection(state, member.idle_.all_.front())->idleSince_ > plan.idleTimeout_) {
+        closeMemberConnection(state, member.idle_.all_.front(), out);
     }
 }
 
@@ -296,19 +295,22 @@
     return member.consecutiveTimeouts_ > 0 || member.unreachable_;
 }
 
-void openStatementConnection(ProxyState &state, MemberState &member, const OrganisationId &organisation, Time now, Effects &out)
+ConnectionId openStatementConnection(ProxyState &state, MemberState &member, const OrganisationId &organisation, Time now, Effects &out)
 {
     MemberConnection connection = newConnection(state, member, now);
     connection.organisation_ = organisation;
-    member.connections_.insert(connection.id_);
+    const ConnectionId id = connection.id_;
+    member.connections_.insert(id);
     open(state, member, std::move(connection), out);
+    return id;
 }
 
 bool closeOldestOfOthers(ProxyState &state, const MemberState &member, const OrganisationId &organisation, Effects &out)
 {
-    const auto isOfAnother = [&](ConnectionId id) { return findConnection(state, id)->organisation_ != organisation; };
-    const auto oldest = std::ranges::find_if(member.idle_, isOfAnother); // The connection that has been idle longest comes first.
-    if (oldest == member.idle_.end()) {
+    const std::vector<ConnectionId> &own = idleOf(member.idle_, organisation);
+    const auto isOfAnother = [&](ConnectionId id) { return std::ranges::find(own, id) == own.end(); };
+    const auto oldest = std::ranges::find_if(member.idle_.all_, isOfAnother); // The connection that has been idle longest comes first.
+    if (oldest == member.idle_.all_.end()) {
         return false;
     }
     closeMemberConnection(state, *oldest, out);
@@ -323,6 +325,7 @@
     }
     if (MemberState *member = findMember(state, connection->member_)) {
         member->openFailures_ = 0;
+        member->fullRefusals_ -= std::min(member->fullRefusals_, 1U);
         member->connectionRefused_ = false;
         recordResponse(*member);
         member->lastAnsweredAt_ = std::max(member->lastAnsweredAt_.value_or(connection->sentAt_), connection->sentAt_);
@@ -349,6 +352,8 @@
         if (lost.end_ == ConnectionEnd::Refused) {
             // The member is full: closing an idle connection of another organisation makes room for the next attempt.
             closeOldestOfOthers(state, *member, connection.organisation_, out);
+        } else if (!connection.isControl_) {
+            countFailedOpening(state, *member, now);
         }
     }
     if (member != nullptr && connection.use_ != MemberConnectionUse::Opening) {
@@ -463,6 +468,7 @@
     for (const MemberId &id : connected) {
         MemberState *member = findMember(state, id);
         if (member != nullptr && state.sessions_->configuration_) {
+            closeEjected(state, *member, now, out);
             closeSurplus(state, *member, now, out);
         }
     }
@@ -485,6 +491,9 @@
             ++member->consecutiveTimeouts_;
             if (connection.use_ == MemberConnectionUse::Opening) {
                 recordOpenFailure(state, *member, ConnectionEnd::Closed, now);
+                if (!connection.isControl_) {
+                    countFailedOpening(state, *member, now);
+                }
             }
         }
         closeMemberConnection(state, id, out);
--- a/src/SessionEvents.h
+++ b/src/SessionEvents.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "GroupReports.h"
 #include "HeartbeatPace.h"
 #include "SessionConfiguration.h"
 
@@ -57,6 +58,8 @@
     std::uint64_t resigned_ = 0; ///< Highest generation whose leader is known to have resigned, as stated by that leader; zero: none.
     bool asksLeader_ = false; ///< The sender uses the group, takes the receiver for its leader and asks for authority.
     std::string leaderName_; ///< Name of the VM that the sender takes for the leader; sent to VMs that asked the sender although it does not lead.
+    GroupObservations observations_; ///< Sent to the leader only.
+    std::optional<GroupAdvice> advice_; ///< Sent by the leader only.
 };
 
 /** Heartbeat that VMs send each other several times a second, by datagram: it may be lost, delayed or duplicated. */
@@ -84,6 +87,14 @@
     VmHeartbeat heartbeat_;
 };
 
+/** Number of operations of one priority for which permits are requested. */
+struct PermitDemand
+{
+    unsigned priority_ = 0;
+    unsigned wanted_ = 0;
+    auto operator<=>(const PermitDemand &) const = default;
+};
+
 /** Request for permits of an organisation, sent by datagram from one VM to another; see OrganisationQuota.h. */
 struct AdmissionRequest
 {
@@ -94,6 +105,7 @@
     OrganisationId organisation_;
     std::uint64_t number_ = 0; ///< Request number of the sender; repeated in the answer.
     double wanted_ = 0; ///< Number of operations, or, in a loan request, of tokens.
+    std::vector<PermitDemand> demands_; ///< The operations by priority, most urgent first; empty in a loan request.
     bool isLoan_ = false; ///< Loan request: the sender is the organisation's limiter in another zone and is short of tokens.
 };
 /** Answer to an AdmissionRequest, sent by datagram. */
@@ -107,6 +119,43 @@
     Duration nextIn_{}; ///< Time until the next permit is available.
 };
 
+/** Read of a client, sent by datagram from one VM to the connection holder of the client's organisation; see ReadForwarding.h. */
+struct ForwardedRead
+{
+    std::string name_; ///< Name of the sender; the next three fields are also the sender's.
+    VmId from_;
+    std::string address_;
+    ZoneId zone_;
+    std::uint64_t number_ = 0; ///< Number of the read at the sender; repeated in the result.
+    OrganisationId organisation_;
+    std::string database_; ///< Name given by the client; only for the log.
+    ServiceId service_;
+    Consistency consistency_ = Consistency::Primary;
+    Duration maxStaleness_{};
+    unsigned priority_ = 0;
+    Duration timeLeft_{}; ///< Time until the holder's result is due.
+    std::optional<LogPoint> lastCommit_; ///< Position of the last commit of the client's session.
+    std::map<std::string, std::string> values_; ///< Session values.
+    ClientStatement statement_; ///< A Read or an Execute.
+    std::string shape_; ///< Execute: shape of the prepared statement.
+};
+/** State of a forwarded read at the connection holder. */
+enum class ForwardedReadOutcome {
+    Running,
+    Answered, ///< The result holds the reply for the client.
+    NotServed, ///< The holder cannot serve the read, for a reason of its own; the sender runs it.
+    TooLarge, ///< The reply does not fit into a datagram; the sender runs the read.
+};
+/** Answer of the connection holder to a ForwardedRead, sent by datagram. */
+struct ForwardedReadResult
+{
+    VmId from_;
+    VmId to_;
+    std::uint64_t number_ = 0;
+    ForwardedReadOutcome outcome_ = ForwardedReadOutcome::Running;
+    SessionReply reply_;
+};
+
 /** Reads the configuration; answered with ConfigurationRead. */
 struct ReadConfiguration
 {
@@ -204,6 +253,8 @@
                                   HeartbeatReceived,
                                   AdmissionRequest,
                                   AdmissionGrant,
+                                  ForwardedRead,
+                                  ForwardedReadResult,
                                   StoreAnswered,
                                   StoreAnswerBegan,
                                   PromotionAnswered>;
@@ -255,6 +306,18 @@
     std::string address_;
     AdmissionGrant grant_;
 };
+/** Sends a read by datagram to the VM at "IP:port"; it may be lost. */
+struct SendForwardedRead
+{
+    std::string address_;
+    ForwardedRead read_;
+};
+/** Sends the result of a forwarded read by datagram to the VM at "IP:port"; it may be lost. */
+struct SendForwardedReadResult
+{
+    std::string address_;
+    ForwardedReadResult result_;
+};
 /** Calls the store, or a VM in its place; results in StoreAnswered, also on timeout. */
 struct CallStore
 {
@@ -281,6 +344,7 @@
     bool writes_ = false; ///< The statement was a write or a commit.
     ReplyCode code_ = ReplyCode::None;
     bool usedPrimary_ = false;
+    bool forwarded_ = false; ///< Another VM ran it; usedPrimary_ and attempts_ then tell nothing.
     unsigned attempts_ = 0;
     Duration total_{};
     Duration waiting_{}; ///< Time spent waiting for a connection to a member.
@@ -295,6 +359,8 @@
                                    SendHeartbeat,
                                    SendAdmissionRequest,
                                    SendAdmissionGrant,
+                                   SendForwardedRead,
+                                   SendForwardedReadResult,
                                    CallStore,
                                    CallPromotion,
                                    SetReady,
--- a/src/SessionMetrics.cpp
+++ b/src/SessionMetrics.cpp
@@ -71,6 +71,14 @@
     , promotions_(BuildCounter().Name("figward_promotion_calls_total").Help("Answers to calls that make a member the primary").Register(registry))
     , memberConnections_(BuildGauge().Name("figward_member_connections").Help("Connections to members, in use or idle").Register(registry))
     , authority_(BuildGauge().Name("figward_authority_seconds").Help("How much longer the group's primary may be used; zero: not").Register(registry))
+    , forwardedReads_(BuildCounter()
+                          .Name("figward_forwarded_reads_total")
+                          .Help("Reads forwarded to another VM, answered by it or run here after all, and reads received from other VMs")
+                          .Register(registry))
+    , admissionLevels_(BuildGauge()
+                           .Name("figward_admission_level")
+                           .Help("Number of priorities admitted in full, plus the admitted fraction of the next; -1: all operations are admitted")
+                           .Register(registry))
     , replicaReads_(counter(registry, "figward_statements_by_replicas_total", "Statements that a replica ran"))
     , retries_(counter(registry, "figward_statement_retries_total", "Further tries of statements"))
     , sessions_(gauge(registry, "figward_sessions", "Sessions that are open"))
@@ -131,7 +139,7 @@
     if (ended.atMember_) {
         observeTime(ended.consistency_, Stage::Member, *ended.atMember_);
     }
-    if (ended.code_ == ReplyCode::None && !ended.usedPrimary_) {
+    if (ended.code_ == ReplyCode::None && !ended.usedPrimary_ && !ended.forwarded_) {
         replicaReads_.Increment();
     }
     if (ended.attempts_ > 1) {
@@ -139,12 +147,25 @@
     }
 }
 
+void SessionMetrics::observeForwarding(const ForwardingTotals &totals)
+{
+    const auto set = [&](const char *event, std::uint64_t total) {
+        prometheus::Counter &found = forwardedReads_.Add({{"event", event}});
+        found.Increment(static_cast<double>(total) - found.Value());
+    };
+    set("forwarded", totals.forwarded_);
+    set("answered", totals.answered_);
+    set("fallback", totals.fallbacks_);
+    set("received", totals.received_);
+}
+
 void SessionMetrics::observe(const SessionServiceState &state, Time now)
 {
+    observeForwarding(state.forwarding_.totals_);
     sessions_.Set(static_cast<double>(state.sessions_.size()));
     std::size_t waiting = 0;
     for (const auto &[id, group] : state.groups_) {
-        waiting += group.waiting_.size();
+        waiting += countWaiting(group.waiting_);
     }
     waiting_.Set(static_cast<double>(waiting));
     ready_.Set(state.ready_.value_or(false) ? 1 : 0);
@@ -164,8 +185,8 @@
                 entry->second[idle] = &memberConnections_.Add(all);
             }
         }
-        entry->second[0]->Set(static_cast<double>(member.connections_.size() - member.idle_.size()));
-        entry->second[1]->Set(static_cast<double>(member.idle_.size()));
+        entry->second[0]->Set(static_cast<double>(member.connections_.size() - member.idle_.all_.size()));
+        entry->second[1]->Set(static_cast<double>(member.idle_.all_.size()));
     }
     std::erase_if(members_, [&](const auto &entry) {
         const bool gone = !state.members_.contains(entry.first);
@@ -178,6 +199,19 @@
     });
 }
 
+void SessionMetrics::observeLevels(const SessionGroup &group, Time now)
+{
+    const GroupAdvice *advice = currentAdvice(group.advice_, now);
+    const auto [entry, isNew] = levels_.try_emplace(group.id_);
+    if (isNew) {
+        entry->second = {&admissionLevels_.Add({{"group", group.id_.value()}, {"pool", "primary"}}),
+                         &admissionLevels_.Add({{"group", group.id_.value()}, {"pool", "replicas"}})};
+    }
+    const auto valueOf = [](const std::optional<AdmissionLevel> &level) { return level ? level->priority_ + level->fraction_ : -1; };
+    entry->second[0]->Set(advice == nullptr ? -1 : valueOf(advice->primaryLevel_));
+    entry->second[1]->Set(advice == nullptr ? -1 : valueOf(advice->replicaLevel_));
+}
+
 void SessionMetrics::observeAges(const SessionServiceState &state, Time now)
 {
     for (const auto &[id, group] : state.groups_) {
@@ -185,6 +219,7 @@
         if (left == nullptr) {
             left = &authority_.Add({{"group", id.value()}});
         }
+        observeLevels(group, now);
         left->Set(holdsAuthority(group.authority_, now) ? seconds(group.authority_.validUntil_ - now) : 0);
     }
     if (state.configuration_) {
--- a/src/SessionPolicies.h
+++ b/src/SessionPolicies.h
@@ -8,7 +8,7 @@
 
 namespace Figward {
 
-/** Enabled policies; in production, all of them. */
+/** Enabled policies; the settings enable all but shedsUnderPressure_ by default. */
 struct SessionPolicies
 {
     bool refusesWhenCutOff_ = true; ///< Refuses statements at once if no reachable member may run them; see CutOff.h.
@@ -18,9 +18,15 @@
     bool keepsReserve_ = true; ///< Reserves half of the connections for statements that have waited; see ConnectionPlan.h.
     bool usesTemporaryConnections_ = true; ///< Uses temporary connections when connections are scarce; see ConnectionPlan.h.
     bool skipsLagging_ = true; ///< Avoids a replica for a short time after it refused a read as lagging.
+    bool sharesLag_ = true; ///< Avoids a replica that refused a read of any VM as lagging far behind; see GroupAdvice.h.
     bool prefersOwnZone_ = true; ///< Prefers members of the VM's own availability zone; see StatementPlacement.h.
     bool poolsQuota_ = true; ///< One VM per zone enforces an organisation's rate for all VMs; if false, each VM has an equal share. See OrganisationQuota.h.
+    bool admitsUrgentFirst_ = true; ///< Reserves quota of an organisation that is short of it for its most urgent operations; see PermitPriority.h.
     bool deprioritisesPrimary_ = true; ///< Slightly prefers replicas for reads, to leave the primary capacity for writes; see StatementPlacement.h.
+    bool forwardsReads_ = true; ///< Forwards reads to the VM that keeps connections for their organisation; see ReadForwarding.h.
+    bool sharesFairly_ = true; ///< Shares the members between organisations by their configured rates; see StatementQueue.h.
+    bool ejectsOutliers_ = true; ///< Avoids members that fail or delay more statements than the others of their group; see OutlierEjection.h.
+    bool shedsUnderPressure_ = true; ///< Limits the operations of less urgent priorities while those of a group wait too long; see GroupPressure.h.
     bool operator==(const SessionPolicies &) const = default;
 };
 
--- a/src/SessionService.cpp
+++ b/src/SessionService.cpp
@@ -3,6 +3,7 @@
 #include "ConfigurationReads.h"
 #include "ConnectionSharing.h"
 #include "CutOff.h"
+#include "GroupAdvice.h"
 #include "GroupInterest.h"
 #include "GroupLeadership.h"
 #include "MemberConnections.h"
@@ -12,6 +13,7 @@
 #include "PlannedRevocation.h"
 #include "PrimaryReplacement.h"
 #include "ProxyState.h"
+#include "ReadForwarding.h"
 #include "SessionAccess.h"
 #include "SessionDrain.h"
 #include "SessionHeartbeats.h"
@@ -130,6 +132,9 @@
 {
     const bool held = holdsAuthority(group.authority_, now);
     const bool isExpected = sessions.onDemand_ && !group.leader_; // There, authority comes and goes with each use of the group.
+    if (held && !group.heldAuthority_) {
+        group.authorityHeldSince_ = now;
+    }
     if (held != group.heldAuthority_ && isExpected) {
         group.heldAuthority_ = held;
     } else if (held != group.heldAuthority_) {
@@ -157,6 +162,7 @@
     }
     reviewPersistentMembers(*state.sessions_, group, now);
     reviewLeadership(state, group, now, out);
+    reviewAdvice(state, group, now, out);
     if (probesPrimary(*state.sessions_, group)) {
         probePrimary(state, group, now, out);
     }
@@ -196,6 +202,7 @@
     reviewWaitingSessions(state, now, out);
     closeRevokedSessions(*state.sessions_, out);
     reviewSessions(state, now, out);
+    reviewForwardedReads(*state.sessions_, now);
     reviewSessionDrain(state, now, out);
     reviewCutOff(*state.sessions_, now, out);
     reviewReady(state, out);
@@ -214,6 +221,8 @@
 {
     if (tag.topic_ == TimerTopic::SessionReview) {
         review(state, now, out);
+    } else if (tag.topic_ == TimerTopic::ForwardedRead) {
+        onForwardTimeout(state, SessionKey(tag.key_), now, out);
     } else {
         onStatementDeadline(state, SessionKey(tag.key_), now, out);
     }
@@ -229,6 +238,8 @@
         [&](const HeartbeatReceived &body) { onHeartbeatReceived(state, body.heartbeat_, now, out); },
         [&](const AdmissionRequest &body) { onAdmissionRequest(state, body, now, out); },
         [&](const AdmissionGrant &body) { onAdmissionGrant(state, body, now, out); },
+        [&](const ForwardedRead &body) { onForwardedRead(state, body, now, out); },
+        [&](const ForwardedReadResult &body) { onForwardedReadResult(state, body, now, out); },
         [&](const StoreAnswered &body) { onStoreAnswered(state, body, now, out); },
         [&](const StoreAnswerBegan &body) { onStoreAnswerBegan(state, body, now); },
         [&](const PromotionAnswered &body) { onPromotionAnswered(state, body, now, out); },
@@ -240,7 +251,7 @@
 {
     forEachReviewedGroup(*state.sessions_, [&](SessionGroup &group) {
         const bool wasWaiting = group.queue_.waitingSince_.has_value();
-        if ((wasWaiting || !group.waiting_.empty()) && state.sessions_->configuration_) {
+        if ((wasWaiting || countWaiting(group.waiting_) > 0) && state.sessions_->configuration_) {
             dispatchStatements(state, group, now, out);
         }
         reviewDeferredRevocation(state, group, now);
--- a/src/SessionState.h
+++ b/src/SessionState.h
@@ -7,11 +7,16 @@
 #include "ConfigurationDelay.h"
 #include "ConnectionPlan.h"
 #include "Delegates.h"
+#include "GroupPressure.h"
+#include "IdleConnections.h"
+#include "OutlierEjection.h"
+#include "PermitPriority.h"
 #include "PositionSamples.h"
 #include "PrimaryAuthority.h"
 #include "SessionEvents.h"
 #include "SessionPolicies.h"
 #include "SharedCheck.h"
+#include "StatementQueue.h"
 #include "TokenBucket.h"
 #include "Units.h"
 #include "WaitForecast.h"
@@ -32,17 +37,29 @@
     bool writes_ = false;
 };
 
+/** A read that was sent to the connection holder of its organisation. */
+struct PendingForward
+{
+    std::uint64_t number_ = 0;
+    std::string holder_; ///< Name of the VM.
+    VmId incarnation_; ///< Its process.
+    Time sentAt_; ///< Time when the request was last sent, or the holder last stated that the read is running.
+    bool repeated_ = false; ///< The request was sent twice since the holder last answered.
+};
+
 /** A client's statement that needs a member and is not answered yet. */
 struct StatementRun
 {
     ClientStatement statement_;
     Time arrived_;
     Time deadline_; ///< Time by which the client must have the answer.
+    Time admittedAt_; ///< Time when its organisation's quota admitted it, if it waited for a permit.
     Time notBefore_; ///< Earliest time of the next attempt.
     std::optional<ConnectionId> connection_; ///< Connection on which it runs; absent while it waits for one.
     bool sent_ = false; ///< The statement itself was sent, not only requests that prepare its connection.
     bool moved_ = false; ///< It was moved away from a member that did not answer.
     bool usesPrimary_ = false; ///< It runs at the primary, so its answer is valid only while this VM holds authority over that member.
+    bool waitCounted_ = false; ///< Its wait is in the observations of its group; see LoadShedding.h.
     bool first_ = false; ///< It is the first statement of its operation, of which no member has run any part yet.
     MemberId member_; ///< Member of the last attempt.
     Time placedAt_; ///< Time of the first attempt.
@@ -50,6 +67,20 @@
     unsigned attempts_ = 0;
     std::set<MemberId> excludedMembers_; ///< Members that refused it or did not answer.
     std::optional<LogPoint> after_; ///< Position that the member's log must include.
+    MemberId failedAt_; ///< Member that answered it with an error, after which it was tried once at another one.
+    std::optional<bool> probes_; ///< Whether it was chosen to probe a member that returns from an ejection; absent while there was none.
+    std::optional<ConnectionId> opening_; ///< Connection that was last opened for it.
+    std::optional<PendingForward> forward_; ///< Present while another VM runs the read.
+    bool runsHere_ = false; ///< It is not forwarded: another VM forwarded it here, or its connection holder did not serve it.
+};
+
+/** VM that forwarded a read to this one. */
+struct ForwardSender
+{
+    std::string name_;
+    VmId incarnation_;
+    std::string address_;
+    std::uint64_t number_ = 0; ///< Number of the read at that VM.
 };
 
 /** Session of a client. */
@@ -74,6 +105,7 @@
     std::optional<StatementRun> run_;
     std::deque<ClientStatement> queued_; ///< Statements received before the previous one was answered.
     Time lastActive_;
+    std::optional<ForwardSender> sender_; ///< Present if the session represents a single read that another VM forwarded; see ReadForwarding.h.
 };
 
 /** What a member connection is used for. */
@@ -113,7 +145,7 @@
     std::optional<Time> missingSince_; ///< Time since which the directory no longer lists it.
     std::optional<Time> leavingSince_; ///< Time since which it announces that it leaves.
     std::set<ConnectionId> connections_; ///< All connections except the one opened for control requests.
-    std::vector<ConnectionId> idle_;
+    IdleConnections idle_;
     std::optional<ConnectionId> control_;
     UseRate use_; ///< Rate of statements of this VM.
     std::optional<Time> lastAnsweredAt_; ///< Send time of the last request that it answered.
@@ -123,12 +155,18 @@
     LogPoint position_; ///< Highest log position seen in its answers.
     Time laggedAt_; ///< Time when it last refused a read as lagging.
     std::optional<LogPoint> laggedBehind_;
+    std::optional<LogPoint> longLag_; ///< The same position, if the primary had reached it long before; see recordLagging().
+    std::optional<LogPoint> sharedLag_; ///< Position for which it refused a read of any VM, as advised by the leader, and the time of that refusal.
+    std::optional<Time> sharedLagAt_;
     std::optional<Time> refusedAt_; ///< Time when it last refused a connection as full; it is then alive and reachable.
     Time openAfter_; ///< Earliest time of the next connection attempt.
+    Time urgentOpenAfter_; ///< The same for statements of the most urgent priority while the group is under pressure.
+    unsigned fullRefusals_ = 0; ///< Refusals as full while the group was under pressure, less the connections opened since.
     unsigned openFailures_ = 0; ///< Number of consecutive failed connection attempts.
     bool connectionRefused_ = false; ///< The last connection attempt was refused by its host, so its process is gone.
     bool unreachable_ = false; ///< The last connection attempt failed, for another reason than that the member is full.
     unsigned consecutiveTimeouts_ = 0; ///< Number of timeouts since its last answer.
+    FailureRow failureRow_; ///< Failures of statements that other members may run as well.
 };
 
 /** Steps of the replacement of a primary by the leader. */
@@ -160,6 +198,10 @@
     bool promotionIssued_ = false; ///< This leader or a previous one may have requested a promotion since the group last had a steady primary.
     Time promoteAfter_;
     Time leadSince_;
+    ObservationMerge reports_; ///< What all VMs report about the group.
+    Time adviceReviewAt_; ///< Earliest time at which the advice is updated.
+    std::optional<OutlierHistory> outliers_; ///< Present after the first update of the advice.
+    std::optional<GroupPressure> pressure_; ///< Admission levels; absent before the first review.
 };
 
 /** Revocation of a leaving primary that takes effect once the statements under way there have ended. */
@@ -199,11 +241,16 @@
     std::uint64_t resigned_ = 0; ///< Highest generation whose leader has resigned; its claim has ended even if the store still contains it.
     Time claimAfter_; ///< Earliest time at which this VM may claim leadership.
     std::optional<CallId> claimWrite_;
-    std::vector<SessionKey> waiting_; ///< Sessions whose statements wait for a connection, most urgent first.
+    StatementQueue waiting_; ///< Sessions whose statements wait for a connection.
+    StatementCosts costs_; ///< Observed only where the configuration has organisations.
     bool heldAuthority_ = false; ///< Whether authority was held when last checked and logged.
     Time authorityLostAt_; ///< Time when authority was last lost; not set before the first loss.
+    Time authorityHeldSince_; ///< Time when heldAuthority_ last became true.
     std::uint64_t heldEpoch_ = 0; ///< Epoch of the authority held last; zero before the first. Authority of a later epoch follows a replacement.
     QueueHistory queue_; ///< History of waiting_.
+    GroupObservations observed_; ///< Totals of this VM since its start.
+    std::optional<Time> lastObservedAt_; ///< Time when observed_ last changed.
+    std::optional<ReceivedAdvice> advice_; ///< Last advice of the leader, or of this VM as the leader; see currentAdvice().
     /** Members to which this VM keeps a persistent connection while connections are scarce: a replica, the primary, or both. */
     std::set<MemberId> persistentMembers_;
     Time persistentMembersReviewAt_; ///< Earliest time at which these members are chosen again.
@@ -304,15 +351,21 @@
 struct PermitRequest
 {
     std::uint64_t number_ = 0;
-    unsigned requested_ = 0; ///< Number of permits requested, for the first statements in the queue.
     std::string limiter_; ///< Name of the VM.
     Time sentAt_;
     unsigned attempts_ = 0; ///< Earlier attempts at the same limiter.
 };
+/** An operation that waits for a permit. */
+struct PermitWait
+{
+    SessionKey session_;
+    unsigned priority_ = 0;
+    bool requested_ = false; ///< The pending request includes it.
+};
 /** Operations of one organisation that wait for permits. */
 struct PermitQueue
 {
-    std::deque<SessionKey> waiting_; ///< Oldest first.
+    std::vector<PermitWait> waiting_; ///< Most urgent first, then oldest first.
     std::optional<PermitRequest> pending_;
     Time notBefore_; ///< Earliest time of the next request, since no permit is available before.
 };
@@ -322,6 +375,7 @@
     TokenBucket bucket_;
     Time borrowedAt_; ///< Time of the last loan requests to other zones.
     std::set<std::uint64_t> pendingLoans_; ///< Numbers of the loan requests that are not answered yet.
+    PermitRates rates_; ///< Of requests for permits.
 };
 /** An organisation that has reached its quota. */
 struct ThrottledOrganisation
@@ -341,6 +395,40 @@
     std::set<ZoneId> zones_;
 };
 
+/** A read that another VM forwarded to this one. */
+struct ReceivedRead
+{
+    ClientSession session_;
+    std::optional<ForwardedReadResult> result_; ///< Present once the read has ended.
+    Time endedAt_;
+};
+/** A connection holder that did not answer. */
+struct SilentHolder
+{
+    Time since_;
+    Time notBefore_; ///< Earliest time of the next read that is forwarded to it.
+    unsigned failures_ = 0; ///< Number of times that it did not answer, without a result in between.
+};
+/** Numbers of reads since the process started. */
+struct ForwardingTotals
+{
+    std::uint64_t forwarded_ = 0;
+    std::uint64_t answered_ = 0; ///< The reply of the holder was given to the client.
+    std::uint64_t fallbacks_ = 0; ///< Forwarded reads that this VM then ran itself.
+    std::uint64_t received_ = 0; ///< Reads of other VMs that this VM accepted.
+};
+/** State of the forwarding of reads; see ReadForwarding.h. */
+struct ForwardingState
+{
+    std::map<std::uint64_t, SessionKey> sent_; ///< Sessions whose reads other VMs run, by number of the read.
+    std::map<SessionKey, ReceivedRead> received_; ///< Reads of other VMs; their keys are never those of clients' sessions.
+    std::map<std::pair<VmId, std::uint64_t>, SessionKey> receivedKeys_; ///< Keys in received_ by sender and number.
+    std::deque<SessionKey> ended_; ///< Keys of the ended reads in received_, oldest first.
+    std::map<std::string, SilentHolder> silent_; ///< By name.
+    std::optional<Time> silenceLoggedAt_;
+    ForwardingTotals totals_;
+};
+
 /** State of a proxy's sessions. */
 struct SessionServiceState
 {
@@ -364,6 +452,7 @@
     std::map<std::string, PeerVm> peers_; ///< Other VMs by name.
     std::map<CallId, PendingStoreCall> calls_;
     AdmissionState quotas_;
+    ForwardingState forwarding_;
     StoreSchedule schedule_;
     Time heartbeatsReviewAt_; ///< Time before which no heartbeat is due, except those requested at once.
     bool heartbeatNow_ = false;
--- a/src/SessionStatements.cpp
+++ b/src/SessionStatements.cpp
@@ -1,9 +1,12 @@
 #include "SessionStatements.h"
 
 #include "GroupInterest.h"
+#include "LoadShedding.h"
 #include "MemberConnections.h"
+#include "MemberEjections.h"
 #include "OrganisationQuota.h"
 #include "ProxyState.h"
+#include "ReadForwarding.h"
 #include "SessionAccess.h"
 #include "SessionLookup.h"
 #include "StatementDispatch.h"
@@ -50,6 +53,9 @@
     useGroup(state, session, now);
     if (!session.pinned_) {
         session.run_->first_ = true;
+        if (refuseIfShed(state, session, now, out)) {
+            return;
+        }
         admitOperation(state, session, now, out);
         return;
     }
@@ -64,6 +70,7 @@
     session.run_->attempts_ = 1;
     session.run_->member_ = connection->member_;
     session.run_->placedAt_ = now;
+    chargeTransactionStatement(state, session);
     connection->steps_ = stepsFor(session, *connection);
     sendNextStep(state, *connection, now, out);
 }
@@ -253,6 +260,9 @@
         return;
     }
     dequeueStatement(state, *session);
+    if (session->run_) {
+        endForward(*state.sessions_, *session->run_);
+    }
     const std::optional<ConnectionId> connection = session->run_ && session->run_->connection_ ? session->run_->connection_ : session->pinned_;
     if (connection) {
         releaseMemberConnection(state, *connection, now, out);
@@ -267,13 +277,23 @@
         return;
     }
     const StatementRun &run = *session->run_;
+    if (run.forward_) {
+        finishUnconfirmed(state, *session, ReplyCode::Timeout, "the VM that runs the read did not answer in time", now, out);
+        return;
+    }
     if (!run.sent_) {
+        if (!isAwaitingPermit(*state.sessions_, *session)) {
+            recordWait(state, *session, now);
+        }
         refuseStatement(state, *session, ReplyCode::Retry, retryAfterText(defaultRetryDelay, waitReason(state, *session, now)), now, out);
         return;
     }
     if (MemberState *member = findMember(state, run.member_)) {
         ++member->consecutiveTimeouts_;
     }
+    if (now - run.sentAt_ >= std::min(readTimeout, (run.deadline_ - run.arrived_) / 2)) {
+        countMissingReply(state, *session, run.member_, now); // A statement that was sent just before its deadline tells nothing.
+    }
     if (session->state_ != TransactionState::None && run.statement_.kind_ != StatementKind::Commit) {
         finishUnconfirmed(state, *session, ReplyCode::Aborted, "a statement was not answered in time; the transaction is rolled back", now, out);
         return;
@@ -285,7 +305,7 @@
 {
     std::vector<SessionKey> unanswered;
     std::vector<SessionKey> idle;
-    for (const auto &[key, session] : state.sessions_->sessions_) {
+    const auto review = [&](SessionKey key, const ClientSession &session) {
         if (session.run_ || session.state_ == TransactionState::Open) {
             useGroup(state, session, now);
         }
@@ -298,6 +318,12 @@
             && now - session.lastActive_ > state.sessions_->configuration_->transactionIdle_) {
             idle.push_back(key);
         }
+    };
+    for (const auto &[key, session] : state.sessions_->sessions_) {
+        review(key, session);
+    }
+    for (const auto &[key, read] : state.sessions_->forwarding_.received_) {
+        review(key, read.session_);
     }
     for (const SessionKey key : unanswered) {
         ClientSession &session = *findSession(state, key);
@@ -307,6 +333,7 @@
         if (MemberState *unresponsiveMember = findMember(state, member)) {
             ++unresponsiveMember->consecutiveTimeouts_;
         }
+        countMissingReply(state, session, member, now);
         closeMemberConnection(state, id, out);
         session.run_->moved_ = true;
         retryStatement(state, session, member, "the member did not answer", now, out);
--- a/src/StatementAnswers.cpp
+++ b/src/StatementAnswers.cpp
@@ -1,6 +1,9 @@
 #include "StatementAnswers.h"
 
+#include "GroupAdvice.h"
+#include "LoadShedding.h"
 #include "MemberConnections.h"
+#include "MemberEjections.h"
 #include "ProxyState.h"
 #include "SessionLookup.h"
 #include "StatementNeeds.h"
@@ -17,7 +20,10 @@
 void completeStatement(ProxyState &state, ClientSession &session, MemberConnection &connection, const SessionReply &reply, Time now, Effects &out)
 {
     const StatementRun &run = *session.run_;
-    const SessionGroup &group = *findGroup(state, session.route_.service_);
+    SessionGroup &group = *findGroup(state, session.route_.service_);
+    if (state.sessions_->configuration_ && state.sessions_->configuration_->organisations_) {
+        recordWork(group.costs_, session.database_, now - run.sentAt_);
+    }
     const bool isValid = !run.usesPrimary_ || holdsAuthority(group.authority_, connection.member_, now);
     const bool changed = changesDatabase(session, run);
     const bool harmless = session.state_ == TransactionState::Open && !changed;
@@ -42,14 +48,23 @@
     finishStatement(state, session, reply, now, out);
 }
 
-/** Records that the member refused a read because its log does not reach the required position. */
+/**
+ * Records that the member refused a read because its log does not reach the required position. If the primary had reached that position long before, the
+ * refusal is reported to the leader: a replica is usually some milliseconds behind, which tells other VMs nothing.
+ */
 void recordLagging(ProxyState &state, ClientSession &session, const MemberConnection &connection, Time now)
 {
+    constexpr Duration longLag = std::chrono::milliseconds(300);
     MemberState *member = findMember(state, connection.member_);
-    if (member != nullptr && session.run_->after_) {
-        member->laggedAt_ = now;
-        member->laggedBehind_ = session.run_->after_;
+    if (member == nullptr || !session.run_->after_) {
+        return;
     }
+    SessionGroup &group = *findGroup(state, session.route_.service_);
+    const std::optional<LogPoint> reachedBefore = positionBefore(group.samples_, now - longLag);
+    member->laggedAt_ = now;
+    member->laggedBehind_ = session.run_->after_;
+    member->longLag_ = reachedBefore && *session.run_->after_ <= *reachedBefore ? session.run_->after_ : std::nullopt;
+    totalsOf(observe(group, now), connection.member_);
 }
 
 /** Handles an error from a member for the statement or for a request that prepares its connection. */
@@ -86,6 +101,12 @@
         }
         return;
     }
+    if (reply.code_ == ReplyCode::Failed && mayTryElsewhere(state, session, member, now)) {
+        session.run_->failedAt_ = member;
+        releaseMemberConnection(state, connection.id_, now, out);
+        retryStatement(state, session, member, toString(reply.code_), now, out);
+        return;
+    }
     // The statement ran and failed.
     const bool inTransaction = session.state_ != TransactionState::None;
     const bool ends = session.run_->statement_.kind_ == StatementKind::Commit;
@@ -104,6 +125,9 @@
         releaseMemberConnection(state, connection.id_, now, out);
         return;
     }
+    if (isStatement(request) || reply.code_ != ReplyCode::None) {
+        countReply(state, *session, connection.member_, reply.code_, now);
+    }
     if (reply.code_ != ReplyCode::None) {
         onRefusal(state, *session, connection, request, reply, now, out);
     } else if (!isStatement(request)) {
@@ -125,6 +149,7 @@
         session->state_ = TransactionState::Failed;
         return;
     }
+    countMissingReply(state, *session, member, now);
     StatementRun &run = *session->run_;
     if (isStatementRetryable(*session)) {
         retryStatement(state, *session, member, "the connection to the member was lost", now, out);
@@ -151,6 +176,7 @@
     const bool harmless = run.statement_.kind_ == StatementKind::Commit && !session->wrote_;
     if (!run.usesPrimary_ || harmless || holdsAuthority(group.authority_, connection.member_, now)) {
         if (isStatement(step)) {
+            recordWait(state, *session, now);
             run.sent_ = true;
             run.sentAt_ = now;
         }
--- a/src/StatementDispatch.cpp
+++ b/src/StatementDispatch.cpp
@@ -2,10 +2,13 @@
 
 #include "ConnectionSharing.h"
 #include "CutOff.h"
+#include "LoadShedding.h"
 #include "MemberConnections.h"
+#include "MemberEjections.h"
 #include "OrganisationQuota.h"
 #include "PlannedRevocation.h"
 #include "ProxyState.h"
+#include "ReadForwarding.h"
 #include "SessionLookup.h"
 #include "StatementNeeds.h"
 #include "StatementOutcome.h"
@@ -13,7 +16,6 @@
 #include "StatementSteps.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace Figward {
 
@@ -21,11 +23,16 @@
 
 /** Time for which a member that refused a read as lagging is avoided for reads of the same or a higher position. */
 constexpr Duration laggingAvoidTime = std::chrono::milliseconds(150);
+/** The same for a refusal that another VM reported: a report and the leader's advice take up to two heartbeats. */
+constexpr Duration sharedLagAvoidTime = std::chrono::milliseconds(600);
 /** Time for which a member that refused a connection as full is avoided, so that other members take its share of the load. */
 constexpr Duration fullAvoidTime = std::chrono::milliseconds(500);
 /** Retry delay for clients in a zone that is cut off: by then the platform routes new connections to other zones, since it polls readiness once a second. */
 constexpr Duration cutOffRetryDelay = std::chrono::milliseconds(2000);
 
+/** Time within which a connection usually opens: it takes 12 ms of a slot, behind the statements that wait at the member. */
+constexpr Duration expectedOpenTime = std::chrono::milliseconds(100);
+
 /**
  * Whether the member accepts new statements. A leaving member stops a few seconds after it announces this, and statements that still run there are aborted. A
  * leaving replica gets no new statements, since other members can serve them. A leaving primary gets them until it is replaced, which takes about a second, but
@@ -43,6 +50,25 @@
     return findConnection(state, connection)->organisation_ == session.organisation_;
 }
 
+/** Whether the replica is expected to refuse a read that must include \p position, by a refusal here or, while connections are scarce, at any VM. */
+bool isLagging(const SessionPolicies &policies, const MemberState &member, const LogPoint &position, bool scarce, Time now)
+{
+    const bool refusedHere = member.laggedBehind_ && position >= *member.laggedBehind_ && now - member.laggedAt_ < laggingAvoidTime;
+    const bool refusedElsewhere = scarce && member.sharedLag_ && position >= *member.sharedLag_ && now - *member.sharedLagAt_ < sharedLagAvoidTime;
+    return (policies.skipsLagging_ && refusedHere) || (policies.sharesLag_ && refusedElsewhere);
+}
+
+/** Removes the primary if a replica that is not known to be down may run the statement, even if that replica is full. */
+void leaveToReplicas(ProxyState &state, std::vector<PlacementCandidate> &candidates)
+{
+    const auto isUsableReplica = [&](const PlacementCandidate &candidate) {
+        return !candidate.primary_ && !candidate.lagging_ && !isUnavailable(*findMember(state, candidate.member_));
+    };
+    if (std::ranges::any_of(candidates, isUsableReplica)) {
+        std::erase_if(candidates, [](const PlacementCandidate &candidate) { return candidate.primary_; });
+    }
+}
+
 std::vector<PlacementCandidate> placementCandidates(ProxyState &state, const ClientSession &session, const SessionGroup &group, Time now)
 {
     const StatementRun &run = *session.run_;
@@ -61,37 +87,36 @@
             continue;
         }
         PlacementCandidate candidate{.member_ = id};
-        candidate.activeStatements_ = static_cast<unsigned>(member->connections_.size() - member->idle_.size());
+        candidate.activeStatements_ = static_cast<unsigned>(member->connections_.size() - member->idle_.all_.size());
         candidate.sameZone_ = !policies.prefersOwnZone_ || member->entry_.zone_ == state.sessions_->identity_.vm_.zone_;
         candidate.leaving_ = member->entry_.leaving_;
         candidate.primary_ = primary;
         candidate.deprioritised_ = primary && policies.deprioritisesPrimary_;
-        candidate.lagging_ = policies.skipsLagging_ && !primary && member->laggedBehind_ && position && *position >= *member->laggedBehind_
-                             && now - member->laggedAt_ < laggingAvoidTime;
         candidate.unavailable_ = isUnavailable(*member) || (member->refusedAt_ && now - *member->refusedAt_ < fullAvoidTime);
-        const auto matching = std::ranges::count_if(member->idle_, [&](ConnectionId connection) { return isForOrganisation(state, connection, session); });
+        const std::size_t matching = idleOf(member->idle_, session.organisation_).size();
         candidate.idleConnection_ = matching > 0;
-        const bool hasIdleOfOthers = std::cmp_less(matching, member->idle_.size());
+        const bool hasIdleOfOthers = matching < member->idle_.all_.size();
         const ConnectionPlan plan = planFor(*state.sessions_, *member, now);
         candidate.temporaryConnections_ = plan.temporary_;
+        candidate.lagging_ = !primary && position && isLagging(policies, *member, *position, plan.temporary_, now);
         const bool hasRoom = member->connections_.size() < connectionsAllowed(plan, now - run.arrived_);
-        candidate.mayOpen_ = (hasRoom || hasIdleOfOthers) && now >= member->openAfter_;
+        candidate.mayOpen_ = (hasRoom || hasIdleOfOthers) && now >= openingAllowedAt(*state.sessions_, group, *member, session, now);
         candidates.push_back(candidate);
     }
+    if (!primaryOnly && leavesPrimary(*state.sessions_, group, session, now)) {
+        leaveToReplicas(state, candidates);
+    }
     return candidates;
 }
 
 /** Takes an idle connection of the session's organisation, preferably one with the session's values. There must be such a connection. */
 ConnectionId takeIdle(ProxyState &state, MemberState &member, const ClientSession &session)
 {
-    const auto isUsable = [&](ConnectionId id) { return isForOrganisation(state, id, session); };
-    const auto hasSameValues = [&](ConnectionId id) { return isUsable(id) && findConnection(state, id)->values_ == session.values_; };
-    auto best = std::ranges::find_if(member.idle_.rbegin(), member.idle_.rend(), hasSameValues);
-    if (best == member.idle_.rend()) {
-        best = std::ranges::find_if(member.idle_.rbegin(), member.idle_.rend(), isUsable);
-    }
-    const ConnectionId id = *best;
-    member.idle_.erase(std::next(best).base());
+    const std::vector<ConnectionId> &usable = idleOf(member.idle_, session.organisation_);
+    const auto hasSameValues = [&](ConnectionId id) { return findConnection(state, id)->values_ == session.values_; };
+    const auto best = std::ranges::find_if(usable.rbegin(), usable.rend(), hasSameValues);
+    const ConnectionId id = best == usable.rend() ? usable.back() : *best;
+    removeIdle(member.idle_, id, session.organisation_);
     return id;
 }
 
@@ -171,6 +196,7 @@
     if (!forecast || shouldWait(*forecast, run.deadline_ - answerMargin, run.deadline_ - run.arrived_, now)) {
         return false;
     }
+    recordWait(state, session, now);
     refuseStatement(state, session, ReplyCode::Retry, retryAfterText(forecast->remaining_, waitReason(state, session, now)), now, out);
     return true;
 }
@@ -179,19 +205,51 @@
  * Opens a connection for the statement, unless a suitable one is already being opened. At the limit, an idle connection of another organisation is closed
  * first.
  */
-void openConnectionFor(ProxyState &state, const ClientSession &session, MemberState &member, Time now, Effects &out)
+void openConnectionFor(ProxyState &state, const SessionGroup &group, ClientSession &session, MemberState &member, Time now, Effects &out)
 {
     const auto isOpeningForSame = [&](ConnectionId id) {
         return findConnection(state, id)->use_ == MemberConnectionUse::Opening && isForOrganisation(state, id, session);
     };
-    if (std::ranges::any_of(member.connections_, isOpeningForSame)) {
+    if (std::ranges::any_of(member.connections_, isOpeningForSame) || !mayOpenAnother(*state.sessions_, group, member, now)) {
         return;
     }
     const ConnectionPlan plan = planFor(*state.sessions_, member, now);
     if (member.connections_.size() >= connectionsAllowed(plan, now - session.run_->arrived_)) {
         closeOldestOfOthers(state, member, session.organisation_, out);
     }
-    openStatementConnection(state, member, session.organisation_, now, out);
+    session.run_->opening_ = openStatementConnection(state, member, session.organisation_, now, out);
+}
+
+/**
+ * Whether the connection that was opened for the statement is expected to open soon. Where reads are forwarded, each connection takes up one that an
+ * organisation could keep, so a statement does not open a second one at another member meanwhile.
+ */
+bool awaitsOpening(ProxyState &state, const ClientSession &session, Time now)
+{
+    const std::optional<ConnectionId> &opening = session.run_->opening_;
+    const MemberConnection *connection = opening ? findConnection(state, *opening) : nullptr;
+    return connection != nullptr && connection->use_ == MemberConnectionUse::Opening && now - connection->sentAt_ < expectedOpenTime
+           && forwardsReads(*state.sessions_, session.route_.service_);
+}
+
+/** Forwards the statement to another VM, or refuses a read of another VM that this one cannot serve. Returns true if this VM does not run it. */
+bool runsElsewhere(ProxyState &state,
+                   const SessionGroup &group,
+                   ClientSession &session,
+                   const std::vector<PlacementCandidate> &candidates,
+                   Time now,
+                   Effects &out)
+{
+    if (session.sender_) {
+        const bool isReachable =
+            std::ranges::any_of(candidates, [&](const PlacementCandidate &candidate) { return !isUnavailable(*findMember(state, candidate.member_)); });
+        if (isReachable && !isUnservable(state, group, candidates, now)) {
+            return false;
+        }
+        refuseForwardedRead(state, session, now, out);
+        return true;
+    }
+    return std::ranges::none_of(candidates, &PlacementCandidate::idleConnection_) && forwardRead(state, session, now, out);
 }
 
 /** Places the statement, opens a connection for it, refuses it, or leaves it waiting behind \p ahead others. Returns true if it still waits. */
@@ -200,21 +258,24 @@
     if (now < session.run_->notBefore_) {
         return true;
     }
-    const std::vector<PlacementCandidate> candidates = placementCandidates(state, session, group, now);
-    if (refuseUnservable(state, group, session, candidates, ahead, now, out)) {
+    std::vector<PlacementCandidate> candidates = placementCandidates(state, session, group, now);
+    withholdEjected(state, session, group, candidates, now);
+    if (runsElsewhere(state, group, session, candidates, now, out) || refuseUnservable(state, group, session, candidates, ahead, now, out)) {
         return false;
     }
     const Placement placement = placeStatement(candidates);
-    if (placement.open_) {
-        openConnectionFor(state, session, *findMember(state, *placement.open_), now, out);
+    if (placement.open_ && !awaitsOpening(state, session, now)) {
+        openConnectionFor(state, group, session, *findMember(state, *placement.open_), now, out);
     }
     if (!placement.run_) {
         return true;
     }
     MemberState &member = *findMember(state, *placement.run_);
-    std::erase(group.waiting_, session.key_);
+    takeStatement(group.waiting_, session.key_);
     recordStart(group.queue_, now);
-    recordUse(member.use_, now);
+    if (!session.sender_) { // The VM of the client has recorded it.
+        recordUse(member.use_, now);
+    }
     startStatement(state, session, *findConnection(state, takeIdle(state, member, session)), now, out);
     return false;
 }
@@ -239,7 +300,7 @@
 
 void dispatchStatements(ProxyState &state, SessionGroup &group, Time now, Effects &out)
 {
-    const std::vector<SessionKey> waiting = group.waiting_;
+    const std::vector<SessionKey> waiting = startOrder(group.waiting_);
     unsigned ahead = 0;
     for (const SessionKey key : waiting) {
         ClientSession *session = findSession(state, key);
@@ -247,7 +308,7 @@
             ahead += dispatchStatement(state, group, *session, ahead, now, out) ? 1 : 0;
         }
     }
-    recordWaiting(group.queue_, !group.waiting_.empty(), now);
+    recordWaiting(group.queue_, countWaiting(group.waiting_) > 0, now);
 }
 
 } // namespace Figward
--- a/test/support/SessionWorld.cpp
+++ b/test/support/SessionWorld.cpp
@@ -17,7 +17,7 @@
     return ServiceId(group == 0 ? "ledger-group" : absl::StrCat("ledger-group-", group));
 }
 
-DatabaseRoute route(unsigned group, Consistency consistency, Duration timeout, Duration staleness, unsigned priority)
+DatabaseRoute route(unsigned group, Consistency consistency, Duration timeout, Duration staleness, unsigned priority, Duration target)
 {
     DatabaseRoute route;
     route.service_ = serviceOf(group);
@@ -25,6 +25,7 @@
     route.statementTimeout_ = timeout;
     route.maxStaleness_ = staleness;
     route.priority_ = priority;
+    route.target_ = target;
     return route;
 }
 
@@ -34,12 +35,14 @@
     configuration.version_ = ConfigVersion(3);
     configuration.transactionIdle_ = std::chrono::seconds(3);
     for (unsigned group = 0; group < config.groups_; ++group) {
-        const auto add = [&](const std::string &kind, Consistency consistency, Duration timeout, Duration staleness, unsigned priority) {
-            configuration.databases_[SessionWorld::databaseOf(kind, group)] = route(group, consistency, timeout, staleness, priority);
+        const auto add = [&](const std::string &kind, Consistency consistency, Duration timeout, Duration staleness, unsigned priority, Duration target) {
+            configuration.databases_[SessionWorld::databaseOf(kind, group)] = route(group, consistency, timeout, staleness, priority, target);
         };
-        add("ledger", Consistency::Primary, std::chrono::seconds(1), {}, 1);
-        add("history", Consistency::BoundedStaleness, std::chrono::seconds(3), std::chrono::milliseconds(1500), 2);
-        add("dispatch", Consistency::ReadYourWrites, std::chrono::seconds(1), std::chrono::milliseconds(2500), 2);
+        using std::chrono::milliseconds;
+        using std::chrono::seconds;
+        add("ledger", Consistency::Primary, seconds(1), {}, 1, milliseconds(200));
+        add("history", Consistency::BoundedStaleness, seconds(3), milliseconds(1500), 2, milliseconds(800));
+        add("dispatch", Consistency::ReadYourWrites, seconds(1), milliseconds(2500), 2, milliseconds(400));
         configuration.services_[serviceOf(group)] = ServiceLimits{config.maxConnections_, config.syncReplicas_};
     }
     if (config.organisations_ != 0) {
@@ -270,6 +273,8 @@
         [&](const SendHeartbeat &body) { sendHeartbeat(vm, body); },
         [&](const SendAdmissionRequest &body) { sendDatagram(vm, body.address_, body.request_); },
         [&](const SendAdmissionGrant &body) { sendDatagram(vm, body.address_, body.grant_); },
+        [&](const SendForwardedRead &body) { sendDatagram(vm, body.address_, body.read_); },
+        [&](const SendForwardedReadResult &body) { sendDatagram(vm, body.address_, body.result_); },
         [&](const CallStore &body) { body.call_.source_.peer_.empty() ? callStore(vm, body.call_) : callMirror(vm, body.call_); },
         [&](const CallPromotion &body) { callPromotion(vm, body); },
         [&](const SetReady &body) { vms_[vm].ready_ = body.ready_; },
@@ -287,11 +292,19 @@
 void SessionWorld::sendDatagram(unsigned vm, const std::string &address, const SessionEvent &event)
 {
     const unsigned to = static_cast<unsigned>(std::stoul(address));
-    schedule(now_ + config_.networkDelay_, [this, vm, to, event] {
-        if (!vmCuts_.contains(std::minmax(vm, to))) {
-            deliverEvent(to, event);
-        }
-    });
+    const std::vector<Duration> copies = datagramFault_ ? datagramFault_(vm, to, event) : std::vector<Duration>{Duration(0)};
+    for (const Duration delay : copies) {
+        schedule(now_ + config_.networkDelay_ + delay, [this, vm, to, event] {
+            if (!vmCuts_.contains(std::minmax(vm, to))) {
+                deliverEvent(to, event);
+            }
+        });
+    }
+}
+
+void SessionWorld::setDatagramFault(DatagramFault fault)
+{
+    datagramFault_ = std::move(fault);
 }
 
 void SessionWorld::cutVmFromMember(unsigned vm, unsigned member, bool cut)
@@ -363,6 +376,11 @@
     return groups_.front();
 }
 
+std::uint64_t SessionWorld::openings() const
+{
+    return openings_;
+}
+
 bool SessionWorld::ready(unsigned vm) const
 {
     return vms_[vm].ready_;
@@ -418,6 +436,11 @@
     return found == lastRuns_.end() ? Time() : found->second;
 }
 
+Duration SessionWorld::slotTime() const
+{
+    return slotTime_;
+}
+
 std::vector<std::string> SessionWorld::logged(LogNumber number) const
 {
     std::vector<std::string> lines;
--- a/test/support/SessionWorld.h
+++ b/test/support/SessionWorld.h
@@ -58,6 +58,23 @@
     Time at_;
 };
 
+/** Fault of a member that is running and reachable. The shares are of the statements that arrive at it. */
+struct MemberFault
+{
+    double failed_ = 0; ///< Share that it answers with an error.
+    double busy_ = 0; ///< Share that it refuses as busy.
+    double silent_ = 0; ///< Share that it neither runs nor answers.
+    double workFactor_ = 1; ///< Factor on the execution time of statements and connection attempts.
+    std::optional<ZoneId> seenFrom_; ///< Zone whose VMs see the fault; absent: all.
+};
+
+/** Number of statements that arrived at a member, and of those that its fault affected. */
+struct StatementTries
+{
+    unsigned all_ = 0;
+    unsigned failed_ = 0;
+};
+
 /** Client of one session, with the statements that it sent and the answers that it received. */
 struct WorldClient
 {
@@ -120,6 +137,9 @@
     /** Sets whether cuts between VMs and members reset new connections from now on; otherwise packets are lost. */
     void cutsReset(bool reset);
     void cutVms(unsigned a, unsigned b, bool cut);
+    /** Returns the additional delay of each copy of a datagram that is delivered; no copies: it is lost. */
+    using DatagramFault = std::function<std::vector<Duration>(unsigned from, unsigned to, const SessionEvent &event)>;
+    void setDatagramFault(DatagramFault fault);
     void cutVmFromStore(unsigned vm, bool cut);
     void storeDown(bool down);
     /** Sets whether the store executes writes but loses their answers from now on. */
@@ -139,6 +159,7 @@
     void memberLeaves(unsigned member);
     /** Sets whether the member refuses new connections, as at its connection limit. */
     void memberIsFull(unsigned member, bool full);
+    void setFault(unsigned member, const MemberFault &fault);
     /** Adds or removes a directory entry of another writer that cannot be parsed. */
     void garbleEntry(const std::string &name, bool garbled);
     void newConfiguration(const std::function<void(SessionConfiguration &)> &change);
@@ -163,14 +184,20 @@
     /** Number of heartbeats sent by all VMs, and of calls to the store by kind, since the start. */
     [[nodiscard]] std::uint64_t heartbeats() const;
     [[nodiscard]] const std::map<std::string, std::uint64_t> &storeCalls() const;
+    /** Number of connections that VMs tried to open for statements of organisations, since the start. */
+    [[nodiscard]] std::uint64_t openings() const;
     [[nodiscard]] bool ready(unsigned vm) const;
     [[nodiscard]] bool runs(unsigned vm) const;
     /** Returns the VM that leads the group, if there is one. */
     [[nodiscard]] std::optional<unsigned> leader(unsigned group = 0) const;
     [[nodiscard]] unsigned promotions() const;
     [[nodiscard]] const std::vector<std::string> &violations() const;
+    /** Returns the statements that arrived at the member since the start. */
+    [[nodiscard]] StatementTries tries(unsigned member) const;
     /** Time at which the member last ran a client's statement that was the first of its operation. */
     [[nodiscard]] Time lastRun(unsigned member) const;
+    /** Total time for which statements and connection attempts have occupied or will occupy slots; zero if slots are unlimited. */
+    [[nodiscard]] Duration slotTime() const;
     /** Returns the log events of one number, as "MS vm: field=value ...". */
     [[nodiscard]] std::vector<std::string> logged(LogNumber number) const;
     /** Returns the notes of the simulation and all log events, oldest first. */
@@ -265,6 +292,10 @@
     Time scheduleWork(unsigned member, Time arrives, Duration work);
     [[nodiscard]] bool isFull(unsigned member);
     void sendToMember(unsigned vm, const SendToMember &effect);
+    /** Returns the fault of the member as this VM sees it. */
+    [[nodiscard]] MemberFault faultOf(unsigned vm, unsigned member) const;
+    /** Returns the error with which a faulty member answers a statement, None if it runs it, or Timeout if it does not answer. */
+    ReplyCode drawFailure(unsigned vm, unsigned member);
     void runAtMember(unsigned vm, std::uint64_t incarnation, const SendToMember &effect);
     void loseConnection(unsigned vm, ConnectionId connection);
     void callStore(unsigned vm, const StoreCall &call);
@@ -316,7 +347,11 @@
     std::set<std::pair<unsigned, unsigned>> vmCuts_;
     std::set<unsigned> storeCuts_;
     std::set<unsigned> fullMembers_;
+    std::map<unsigned, MemberFault> faults_;
+    std::map<unsigned, StatementTries> tries_;
+    std::mt19937_64 faultRandom_{1};
     std::map<unsigned, std::vector<Time>> slots_; ///< Time at which each slot becomes free, keyed by member.
+    Duration slotTime_{};
     std::map<std::string, Duration> work_; ///< Execution time where it is not workTime_, keyed by statement id.
     OnAnswer onAnswer_;
     std::vector<WorldClient> clients_;
@@ -338,6 +373,8 @@
     std::vector<std::string> story_;
     std::string logText_;
     BeforeEvent beforeEvent_;
+    DatagramFault datagramFault_;
+    std::uint64_t openings_ = 0; ///< Connection attempts for organisations.
 };
 
 } // namespace Figward::Testing
