--- a/src/SessionPolicies.h
+++ b/src/SessionPolicies.h
@@ -8,7 +8,7 @@
 
 namespace Figward {
 
-/** Enabled policies; the settings enable all but shedsUnderPressure_ by default. */
+/** Enabled policies; see the settings for which of them are enabled by default. */
 struct SessionPolicies
 {
     bool refusesWhenCutOff_ = true; ///< Refuses statements at once if no reachable member may run them; see CutOff.h.
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -50,10 +50,10 @@
     policy("spare_primary", "Reads leave some capacity of the primary free."),
     policy("pool_quotas", "One VM of each availability zone enforces an organisation's rate limit for all; otherwise each VM enforces an equal share."),
     policy("forward_reads", "Where connections are scarce, a read is forwarded to the VM of the zone that keeps connections for its organisation."),
-    policy("share_lag", "Where connections are scarce, a replica that refused a read of any VM as lagging far behind is avoided by all VMs."),
+    policy("share_lag", "Where connections are scarce, a replica that refused a read of any VM as lagging far behind is avoided by all VMs.", "false"),
     policy("admit_urgent_first", "An organisation that is short of quota uses it for its most urgent operations first."),
     policy("shed_under_pressure", "While statements of a group wait too long, operations of less urgent priorities are refused at once.", "false"),
-    policy("eject_outliers", "Members that fail or delay more statements than the others of their group are avoided."),
+    policy("eject_outliers", "Members that fail or delay more statements than the others of their group are avoided.", "false"),
     policy("share_fairly", "Waiting statements of one priority share the members by the configured rates of their organisations."),
 };
 
@@ -124,7 +124,9 @@
     SessionPolicies policies;
     const JsonNode *node = findMember(sessions, "policies");
     if (node == nullptr) {
+        policies.sharesLag_ = false;
         policies.shedsUnderPressure_ = false;
+        policies.ejectsOutliers_ = false;
         return policies;
     }
     const auto isEnabled = [&](std::string_view name) { return booleanField(*node, policiesObject, name); };
