--- a/review/build.sh
+++ b/review/build.sh
@@ -8,3 +8,5 @@
 }
 build 1 case-1
 build 2 case-2
+build further/sigterm sigterm
+build further/foreign-entry foreign-entry
