Reset calls to the platform that are given up, so that none arrives late

A leader that was partitioned from the platform called for a promotion, gave the call up after 1 s and resigned. The next leader put a primary into use. When the partition ended the call got through, with a lower generation, and another member was made primary.

Cause: HttpClient closed the connection of a call without an answer in the ordinary way, and the kernel went on to transmit what had been written. The path's record shows one call of the first leader, held up for 8.3 s. That a call takes effect within a second or never was assumed.

Change: connections of HttpClient are reset whenever they are closed, also by the end of the process; TCP_USER_TIMEOUT ends them while the process does not run. The promotion call's timeout is 0.9 s, less than the 1 s for which the next leader waits before it promotes. A leader asks the members again 0.6 s after a call without an answer, in place of 2.5 s after the call. A failed call is logged (414) also after the leader has resigned. SocketOptions holds the option that LineConnection set by itself.

--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include "HttpClient.h"
 
 #include "SocketAddress.h"
+#include "SocketOptions.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
@@ -60,7 +61,8 @@
         message_.body() = std::move(request.body_);
         message_.prepare_payload();
         callStart_ = std::chrono::steady_clock::now();
-        stream_.expires_after(std::chrono::duration_cast<std::chrono::milliseconds>(request.timeout_));
+        timeout_ = std::chrono::duration_cast<std::chrono::milliseconds>(request.timeout_);
+        stream_.expires_after(timeout_);
         if (connected_) {
             write();
         } else {
@@ -85,12 +87,14 @@
                                   self->connected_ = true;
                                   boost::system::error_code ignored; // Without this option calls are only slower.
                                   self->stream_.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+                                  resetOnClose(self->stream_.socket());
                                   self->write();
                               });
     }
 
     void write()
     {
+        limitUnacknowledgedTime(stream_.socket(), timeout_);
         http::async_write(stream_, message_, [self = shared_from_this()](const boost::system::error_code &error, std::size_t /*size*/) {
             if (error) {
                 self->fail(error);
@@ -159,6 +163,7 @@
     OnResponse onResponse_;
     OnHeader onHeader_;
     std::chrono::steady_clock::time_point callStart_; ///< Start of the current call.
+    std::chrono::milliseconds timeout_{}; ///< Of the current call.
     std::chrono::steady_clock::time_point lastCallEnd_; ///< When the last call ended.
     bool connected_ = false;
 
--- a/src/HttpClient.h
+++ b/src/HttpClient.h
@@ -1,5 +1,7 @@
 /** \file
- * Defines an HTTP/1.1 client for calls to one address. Idle connections are reused; a connection on which a call failed is closed.
+ * Defines an HTTP/1.1 client for calls to one address. Idle connections are reused; a connection on which a call failed is reset.
+ *
+ * A request reaches its server before its timeout or never: the reset discards what the kernel has not transmitted yet.
  */
 #pragma once
 
--- a/src/LineConnection.cpp
+++ b/src/LineConnection.cpp
@@ -1,5 +1,7 @@
 #include "LineConnection.h"
 
+#include "SocketOptions.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <netinet/tcp.h>
@@ -9,8 +11,8 @@
 namespace {
 
 constexpr std::size_t readSize = 4096;
-/** The connection is closed if sent data stays unacknowledged for this long. By default, the kernel would retransmit to a lost VM for minutes. */
-constexpr int unacknowledgedLimitMillis = 4000;
+/** The connection is closed if sent data stays unacknowledged for this long. */
+constexpr std::chrono::milliseconds unacknowledgedLimit(4000);
 /** Interval of TCP keep-alive probes on an idle connection, which detect a VM that stopped without closing the connection. */
 constexpr int keepAliveSeconds = 10;
 /** Time for the other side to read the last data sent and to close the connection; a responsive peer needs one round trip. */
@@ -55,8 +57,8 @@
     boost::system::error_code ignored; // Without these options the connection still works but detects an unresponsive peer later.
     socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
     socket_.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+    limitUnacknowledgedTime(socket_, unacknowledgedLimit);
     const int handle = socket_.native_handle();
-    setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedLimitMillis, sizeof unacknowledgedLimitMillis);
     setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &keepAliveSeconds, sizeof keepAliveSeconds);
     setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &keepAliveSeconds, sizeof keepAliveSeconds);
 }
--- a/src/PrimaryReplacement.cpp
+++ b/src/PrimaryReplacement.cpp
@@ -47,12 +47,17 @@
 constexpr Duration reportInterval = std::chrono::milliseconds(40);
 /** Maximum time that a planned replacement waits for the successor to receive the last commits. */
 constexpr Duration catchUpTimeout = std::chrono::milliseconds(1500);
-/** A promotion takes about 300 to 600 ms. If it has not been observed within this time, the members are surveyed again. */
+/** If a promotion that the platform accepted has not been observed within this time, the members are surveyed again. */
 constexpr Duration promotionTimeout = std::chrono::milliseconds(2500);
-/** Timeout of a promotion call to the platform. */
-constexpr Duration promotionCallTimeout = std::chrono::milliseconds(1000);
-/** By this time a requested promotion has taken effect, or the member's reports show that nothing changed. */
+/** Time within which a promotion takes effect once the platform has received the call. */
+constexpr Duration promotionEffectTime = std::chrono::milliseconds(600);
+/** By this time the platform has received a requested promotion, or never will, and the members' reports show its effect. */
 constexpr Duration promotionSettleTime = std::chrono::milliseconds(1000);
+/**
+ * Timeout of a promotion call to the platform, after which the call's connection is reset. A call of a leader that has resigned must not reach the platform
+ * after a call of the next leader, which waits for promotionSettleTime.
+ */
+constexpr Duration promotionCallTimeout = promotionSettleTime - std::chrono::milliseconds(100);
 /** Delay before a failed promotion call is retried. */
 constexpr Duration promotionRetryDelay = std::chrono::milliseconds(200);
 
@@ -69,6 +74,15 @@
                                {"ms", absl::StrCat(toMillis(now - leader.replacementSince_))}}});
 }
 
+/** Logs a failed promotion call whose result this VM no longer waits for, so that the log tells what became of each call. */
+void logLateFailure(const PromotionAnswered &answer, Effects &out)
+{
+    out.emplace_back(WriteLog{LogNumber::PromotionFailed,
+                              {{"group", answer.group_.value()},
+                               {"target", answer.member_.value()},
+                               {"reason", absl::StrCat("status ", answer.status_, ", after this VM stopped waiting for it")}}});
+}
+
 void enterStep(LeaderState &leader, ReplacementStep step, Time now)
 {
     leader.step_ = step;
@@ -82,6 +96,7 @@
     leader.reportsRequestedAt_ = now;
     leader.target_.reset();
     leader.promotionAccepted_.reset();
+    leader.promotionUnanswered_.reset();
 }
 
 bool isUnknownOrLeaving(const MemberState *member)
@@ -318,6 +333,7 @@
     LeaderState &leader = *group.leader_;
     leader.target_ = target;
     leader.promotionAccepted_.reset();
+    leader.promotionUnanswered_.reset();
     leader.promotionIssued_ = true;
     enterStep(leader, ReplacementStep::Promoting, now);
     leader.promoteAfter_ = now + promotionCallTimeout + promotionRetryDelay;
@@ -348,7 +364,8 @@
 {
     LeaderState &leader = *group.leader_;
     MemberState *target = findMember(state, *leader.target_);
-    if (target == nullptr || now - leader.stepSince_ > promotionTimeout) {
+    const bool hadNoEffect = leader.promotionUnanswered_ && now - *leader.promotionUnanswered_ > promotionEffectTime;
+    if (target == nullptr || hadNoEffect || now - leader.stepSince_ > promotionTimeout) {
         logStep(group, LogNumber::PromotionFailed, "not seen in time", now, out);
         beginSurvey(leader, now);
         return;
@@ -422,18 +439,23 @@
 
 void onPromotionAnswered(ProxyState &state, const PromotionAnswered &answer, Time now, Effects &out)
 {
+    constexpr unsigned accepted = 200;
     SessionGroup *group = findGroup(state, answer.group_);
     if (group == nullptr || !group->leader_ || group->leader_->step_ != ReplacementStep::Promoting || group->leader_->target_ != answer.member_) {
+        if (answer.status_ != accepted) {
+            logLateFailure(answer, out);
+        }
         return;
     }
-    constexpr unsigned accepted = 200;
     if (answer.status_ == accepted) {
         group->leader_->promotionAccepted_ = now;
         return;
     }
     logStep(*group, LogNumber::PromotionFailed, absl::StrCat("status ", answer.status_), now, out);
-    if (answer.status_ != 0) {
-        // The platform rejected the call. Without an answer (status 0) it may still be carried out, and the member continues to be observed.
+    if (answer.status_ == 0) {
+        // The platform may have received the call, so the member is observed until its effect would have shown.
+        group->leader_->promotionUnanswered_ = now;
+    } else {
         group->leader_->promoteAfter_ = now + promotionRetryDelay;
         beginSurvey(*group->leader_, now);
     }
--- a/src/SessionState.h
+++ b/src/SessionState.h
@@ -195,6 +195,7 @@
     std::optional<Time> reportsRequestedAt_; ///< Reports requested before this time are ignored.
     std::optional<MemberId> target_;
     std::optional<Time> promotionAccepted_; ///< Time when the platform accepted the promotion of target_.
+    std::optional<Time> promotionUnanswered_; ///< Time when the call for the promotion of target_ ended without an answer.
     bool promotionIssued_ = false; ///< This leader or a previous one may have requested a promotion since the group last had a steady primary.
     Time promoteAfter_;
     Time leadSince_;
--- a/test/support/SessionWorld.h
+++ b/test/support/SessionWorld.h
@@ -146,6 +146,11 @@
     void storeLosesAnswers(bool loses);
     /** Sets whether calls to the platform to promote a member remain unanswered. */
     void promotionsDown(bool down);
+    /**
+     * Sets whether promotion calls of the VM are held up on the way, as by a partition from the platform. They arrive when this ends, except those whose timeout
+     * has passed: the VM has reset their connections.
+     */
+    void holdUpPromotions(unsigned vm, bool heldUp);
     void killVm(unsigned vm);
     void startVm(unsigned vm);
     void freezeVm(unsigned vm, bool frozen);
@@ -262,6 +267,14 @@
         std::map<std::string, EntryVm> vms_;
         std::map<ServiceId, LeaderClaim> claims_;
     };
+    /** A promotion call that has not reached the platform yet. */
+    struct HeldUpPromotion
+    {
+        std::uint64_t number_ = 0;
+        unsigned vm_ = 0;
+        std::uint64_t incarnation_ = 0;
+        CallPromotion effect_;
+    };
     struct Acknowledged
     {
         std::string id_;
@@ -311,6 +324,7 @@
     StoreAnswered executeWrite(CallId id, const WriteClaim &write);
     void sendHeartbeat(unsigned vm, const SendHeartbeat &effect);
     void callPromotion(unsigned vm, const CallPromotion &effect);
+    void receivePromotion(unsigned vm, std::uint64_t incarnation, const CallPromotion &effect);
     void sendDatagram(unsigned vm, const std::string &address, const SessionEvent &event);
     /** Records the organisation of a statement and checks that it is the one for which the connection was opened. */
     void checkOrganisation(unsigned vm, const SendToMember &effect, const SessionReply &reply);
@@ -340,6 +354,9 @@
     bool storeDown_ = false;
     bool storeLosesAnswers_ = false;
     bool promotionsDown_ = false;
+    std::set<unsigned> promotionHolds_; ///< VMs whose promotion calls are held up.
+    std::vector<HeldUpPromotion> heldUpPromotions_;
+    std::uint64_t nextPromotion_ = 1;
     Duration configurationTransferTime_{}; ///< Transfer time of a configuration.
     bool longWatchesMissChanges_ = false;
     std::set<std::pair<unsigned, unsigned>> vmMemberCuts_;
--- a/test/support/SessionWorldMembers.cpp
+++ b/test/support/SessionWorldMembers.cpp
@@ -248,6 +248,39 @@
         });
         return;
     }
+    if (!promotionHolds_.contains(vm)) {
+        receivePromotion(vm, incarnation, effect);
+        return;
+    }
+    note(absl::StrCat("promotion of ", effect.member_.value(), " by ", vm, " is held up"));
+    const std::uint64_t number = nextPromotion_++;
+    heldUpPromotions_.push_back({number, vm, incarnation, effect});
+    schedule(now_ + effect.timeout_, [this, number, vm, incarnation, effect] {
+        if (std::erase_if(heldUpPromotions_, [&](const HeldUpPromotion &call) { return call.number_ == number; }) > 0) {
+            deliverEvent(vm, incarnation, SessionEvent(PromotionAnswered{effect.group_, effect.member_, 0}));
+        }
+    });
+}
+
+void SessionWorld::holdUpPromotions(unsigned vm, bool heldUp)
+{
+    if (heldUp) {
+        promotionHolds_.insert(vm);
+        return;
+    }
+    promotionHolds_.erase(vm);
+    std::vector<HeldUpPromotion> arriving;
+    std::ranges::copy_if(heldUpPromotions_, std::back_inserter(arriving), [&](const HeldUpPromotion &call) { return call.vm_ == vm; });
+    std::erase_if(heldUpPromotions_, [&](const HeldUpPromotion &call) { return call.vm_ == vm; });
+    for (const HeldUpPromotion &call : arriving) {
+        if (vms_[vm].incarnation_ == call.incarnation_) {
+            receivePromotion(vm, call.incarnation_, call.effect_);
+        }
+    }
+}
+
+void SessionWorld::receivePromotion(unsigned vm, std::uint64_t incarnation, const CallPromotion &effect)
+{
     const std::string &promoter = promoters_.try_emplace({effect.group_, effect.generation_}, vms_[vm].name_).first->second;
     if (promoter != vms_[vm].name_) {
         reportViolation(absl::StrCat("two VMs promote with generation ", effect.generation_));
