Promote a leaving member if only it holds acknowledged commits

Cause: members that leave were left out before reports were compared, so that no report could change the choice.

Change: the choice is a module of its own, SuccessorChoice. Leaving members are considered if those that stay may lack acknowledged commits. The same loss in planned replacements: after 1.5 s the best member that stays was promoted, whatever it lacked. A leaving primary is now revoked once a member that stays keeps up with it (without synchronous replicas after 3 s at the latest), and promoted again if its commits are nowhere else. A primary that stepped down is considered by the next leader too. A successor that holds all of a leaving primary's commits is promoted without waiting for the report of a third member; a leaving primary that crashes is no longer waited for.

Cost: none where a member that stays holds the same commits.

--- a/src/LineGroupModel.cpp
+++ b/src/LineGroupModel.cpp
@@ -220,6 +220,14 @@
     member.log_.push_back(LineCommit{LogPoint{member.term_, next}, std::move(statements), now});
 }
 
+unsigned LineGroupModel::replicasHolding(const MemberId &primary, const LogPoint &point) const
+{
+    return static_cast<unsigned>(std::ranges::count_if(members_, [&](const auto &entry) {
+        const LineMember &member = entry.second;
+        return member.id_ != primary && member.up_ && holds(member.log_, point);
+    }));
+}
+
 void LineGroupModel::replicate(Time now)
 {
     const LineMember *sender = nullptr;
--- a/src/LineGroupModel.h
+++ b/src/LineGroupModel.h
@@ -76,6 +76,8 @@
     void disconnect(ConnectionId connection);
     /** Runs a request; returns nullopt if the member is down or the connection is unknown. */
     std::optional<LineAnswer> run(ConnectionId connection, const MemberRequest &request, Time now);
+    /** Number of running members other than \p primary that have received \p point. */
+    [[nodiscard]] unsigned replicasHolding(const MemberId &primary, const LogPoint &point) const;
     /** Copies to the replicas the commits that are due at \p now. */
     void replicate(Time now);
     /** Makes \p id the primary of the next term at once; false if it is not running. */
--- a/src/PrimaryReplacement.cpp
+++ b/src/PrimaryReplacement.cpp
@@ -8,6 +8,7 @@
 #include "SessionHeartbeats.h"
 #include "SessionLookup.h"
 #include "StoreReads.h"
+#include "SuccessorChoice.h"
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
@@ -34,19 +35,8 @@
 constexpr Duration silenceMargin = std::chrono::milliseconds(50);
 /** A new leader collects heartbeats for this long before it decides whether the primary is lost. */
 constexpr Duration newLeaderDelay = std::chrono::milliseconds(800);
-/** The survey continues without members that have not reported within this time. */
-constexpr Duration surveyTime = std::chrono::milliseconds(400);
-/**
- * Replaces surveyTime if the member that is missing may be the one that holds acknowledged commits: in groups with synchronous replicas, or if all that have
- * reported lack old ones.
- */
-constexpr Duration longSurveyTime = std::chrono::seconds(6);
-/** Replicas receive commits within a fraction of this time, unless they are cut off from the primary. */
-constexpr Duration normalReplicationLag = std::chrono::seconds(1);
 /** Interval between report requests to a member during a survey or a promotion. */
 constexpr Duration reportInterval = std::chrono::milliseconds(40);
-/** Maximum time that a planned replacement waits for the successor to receive the last commits. */
-constexpr Duration catchUpTimeout = std::chrono::milliseconds(1500);
 /** If a promotion that the platform accepted has not been observed within this time, the members are surveyed again. */
 constexpr Duration promotionTimeout = std::chrono::milliseconds(2500);
 /** Time within which a promotion takes effect once the platform has received the call. */
@@ -99,41 +89,6 @@
     leader.promotionUnanswered_.reset();
 }
 
-bool isUnknownOrLeaving(const MemberState *member)
-{
-    return member == nullptr || member->entry_.leaving_;
-}
-
-/** Report of \p member from the current survey; null if there is none. */
-const ReplicationReport *currentReport(const LeaderState &leader, const MemberState &member)
-{
-    return member.report_ && leader.reportsRequestedAt_ && member.reportAsOf_ >= *leader.reportsRequestedAt_ ? &*member.report_ : nullptr;
-}
-
-/**
- * Whether \p member, the old primary, reports that it is still primary while it is unknown whether another member was promoted. Promoting it again resolves
- * this.
- */
-bool mayBePromotedAgain(const LeaderState &leader, const MemberState &member)
-{
-    const ReplicationReport *report = currentReport(leader, member);
-    return leader.promotionIssued_ && !leader.planned_ && report != nullptr && report->primary_;
-}
-
-/** Members that are eligible for promotion. */
-std::vector<const MemberState *> findCandidates(ProxyState &state, const SessionGroup &group)
-{
-    std::vector<const MemberState *> found;
-    for (const MemberId &id : group.members_) {
-        const MemberState *member = findMember(state, id);
-        const bool eligible = member != nullptr && !member->entry_.leaving_;
-        if (eligible && (id != group.leader_->claim_.primary_ || mayBePromotedAgain(*group.leader_, *member))) {
-            found.push_back(member);
-        }
-    }
-    return found;
-}
-
 /** Whether a member holds commits of a later term than the primary's: a delayed promotion call has made another member primary. */
 bool laterTermSeen(ProxyState &state, const SessionGroup &group)
 {
@@ -143,21 +98,28 @@
     });
 }
 
-std::optional<std::string_view> reasonToReplace(ProxyState &state, const SessionGroup &group, Time now)
+/** Why the primary is replaced. */
+struct ReplacementReason
+{
+    std::string_view text_;
+    bool planned_ = false; ///< The primary is leaving but still working.
+};
+
+std::optional<ReplacementReason> reasonToReplace(ProxyState &state, const SessionGroup &group, Time now)
 {
     const LeaderState &leader = *group.leader_;
     const MemberState *primary = findMember(state, leader.claim_.primary_);
-    if (now - leader.leadSince_ < newLeaderDelay || findCandidates(state, group).empty()) {
+    if (now - leader.leadSince_ < newLeaderDelay || !hasCandidates(state, group)) {
         return std::nullopt;
     }
     if (laterTermSeen(state, group)) {
-        return "a member is in a later term";
+        return ReplacementReason{"a member is in a later term"};
     }
-    if (primary != nullptr && primary->entry_.leaving_) {
-        return "the primary leaves";
+    if (primary != nullptr && primary->entry_.leaving_ && isSuccessorReady(state, group, now)) {
+        return ReplacementReason{"the primary leaves", true};
     }
     if (primary != nullptr && primary->report_ && primary->reportAsOf_ > leader.leadSince_ && !primary->report_->primary_) {
-        return "the primary says that it is a replica";
+        return ReplacementReason{"the primary says that it is a replica"};
     }
     const std::optional<Duration> heard = timeSincePrimaryHeard(state, group, now);
     const Duration silence = heard.value_or(now - leader.leadSince_);
@@ -170,22 +132,22 @@
     if (silence < (refused ? refusedPrimaryTimeout : primarySilenceTimeout) || !hearsEnoughVms) {
         return std::nullopt;
     }
-    return refused ? "the primary refuses connections" : "no VM hears the primary";
+    return ReplacementReason{refused ? "the primary refuses connections" : "no VM hears the primary"};
 }
 
-void revoke(ProxyState &state, SessionGroup &group, std::string_view why, bool planned, Time now, Effects &out)
+void revoke(ProxyState &state, SessionGroup &group, const ReplacementReason &reason, Time now, Effects &out)
 {
     LeaderState &leader = *group.leader_;
     leader.claim_.epoch_ = std::max(leader.claim_.epoch_, group.authority_.epoch_) + 1;
     leader.claim_.phase_ = ClaimPhase::Replacing;
     leader.revokeStored_.reset();
-    leader.planned_ = planned;
+    leader.planned_ = reason.planned_;
     leader.promotionIssued_ = false;
     leader.replacementSince_ = now;
     enterStep(leader, ReplacementStep::Revoking, now);
     revokePrimary(state, group, leader.claim_.epoch_, now);
     requestClaimWrite(leader);
-    logStep(group, LogNumber::PrimaryRevoked, why, now, out);
+    logStep(group, LogNumber::PrimaryRevoked, reason.text_, now, out);
 }
 
 /** Whether all VMs that are listed in the store or have been heard have confirmed that they no longer use the old primary. */
@@ -254,80 +216,6 @@
     logStep(group, LogNumber::PrimaryInForce, why, now, out);
 }
 
-/** Member that is already primary according to the survey: one that a previous leader promoted, or the old primary if it holds everything it acknowledged. */
-const MemberState *findCurrentPrimary(ProxyState &state, const SessionGroup &group)
-{
-    const LeaderState &leader = *group.leader_;
-    const MemberState *best = nullptr;
-    for (const MemberId &id : group.members_) {
-        const MemberState *member = findMember(state, id);
-        const ReplicationReport *report = member == nullptr ? nullptr : currentReport(leader, *member);
-        // Once a promotion has been requested, a member that is primary in the old term may be replaced at any moment, or may have been already.
-        const Term lowest = leader.promotionIssued_ ? Term(leader.claim_.term_.value() + 1) : leader.claim_.term_;
-        if (report == nullptr || !report->primary_ || report->term_ < lowest) {
-            continue;
-        }
-        const std::optional<PositionSample> sample = newestSample(group.samples_);
-        const bool lostLogEntries = id == leader.claim_.primary_ && sample && sample->position_.term_ == report->term_ && report->received_ < sample->position_;
-        const bool planned = leader.planned_ && id == leader.claim_.primary_;
-        if (!lostLogEntries && !planned && (best == nullptr || best->report_->term_ < report->term_)) {
-            best = member;
-        }
-    }
-    return best;
-}
-
-unsigned syncReplicas(const ProxyState &state, const ServiceId &group)
-{
-    const auto limits = state.sessions_->configuration_->services_.find(group);
-    return limits == state.sessions_->configuration_->services_.end() ? 0 : limits->second.syncReplicas_;
-}
-
-/**
- * Whether \p report lacks what the old primary had well before it was lost, which replicas had received long since: the member was started again without its
- * log, or receives nothing.
- */
-bool lacksOldPositions(const SessionGroup &group, const ReplicationReport &report)
-{
-    const std::optional<LogPoint> old = positionBefore(group.samples_, group.leader_->replacementSince_ - normalReplicationLag);
-    return old && report.received_ < *old;
-}
-
-/** Eligible member that has received most of the log; null until all have reported or the survey time has passed. */
-const MemberState *chooseSuccessor(ProxyState &state, const SessionGroup &group, Time now)
-{
-    const LeaderState &leader = *group.leader_;
-    const std::vector<const MemberState *> candidates = findCandidates(state, group);
-    const MemberState *mostAdvanced = nullptr;
-    unsigned reported = 0;
-    for (const MemberState *member : candidates) {
-        const ReplicationReport *report = currentReport(leader, *member);
-        if (report == nullptr) {
-            continue;
-        }
-        ++reported;
-        if (mostAdvanced == nullptr || mostAdvanced->report_->received_ < report->received_) {
-            mostAdvanced = member;
-        }
-    }
-    const bool all = reported == candidates.size();
-    const bool waitsForOthers = syncReplicas(state, group.id_) > 0 || (mostAdvanced != nullptr && lacksOldPositions(group, *mostAdvanced->report_));
-    const Duration timeout = waitsForOthers ? longSurveyTime : surveyTime;
-    return all || now - leader.stepSince_ > timeout ? mostAdvanced : nullptr;
-}
-
-/** Whether \p successor has received everything that the old primary wrote before it stepped down, in a planned replacement; true in any other. */
-bool hasCaughtUp(ProxyState &state, const SessionGroup &group, const MemberState &successor, Time now)
-{
-    const LeaderState &leader = *group.leader_;
-    const MemberState *old = findMember(state, leader.claim_.primary_);
-    const ReplicationReport *last = old == nullptr ? nullptr : currentReport(leader, *old);
-    if (!leader.planned_ || now - leader.stepSince_ > catchUpTimeout) {
-        return true;
-    }
-    return last != nullptr && !last->primary_ && last->received_ <= successor.report_->received_;
-}
-
 void promote(SessionGroup &group, const MemberId &target, Time now, Effects &out)
 {
     LeaderState &leader = *group.leader_;
@@ -355,11 +243,30 @@
         return;
     }
     const MemberState *successor = now < leader.promoteAfter_ ? nullptr : chooseSuccessor(state, group, now);
-    if (successor != nullptr && hasCaughtUp(state, group, *successor, now)) {
+    if (successor != nullptr) {
         promote(group, successor->entry_.id_, now, out);
     }
 }
 
+/** Revokes the primary if it has to be replaced. */
+void reviewSteady(ProxyState &state, SessionGroup &group, Time now, Effects &out)
+{
+    const LeaderState &leader = *group.leader_;
+    const MemberState *primary = findMember(state, leader.claim_.primary_);
+    if (primary != nullptr && primary->entry_.leaving_) {
+        requestSuccessorReports(state, group, now, out);
+    }
+    // A previous leader's revocation that was never recorded in the store, or a VM that found the primary to have lost its log.
+    if (group.highestEpochHeard_ > leader.claim_.epoch_) {
+        revoke(state, group, {"another VM knows a later epoch"}, now, out);
+    } else if (const std::optional<ReplacementReason> reason = reasonToReplace(state, group, now)) {
+        revoke(state, group, *reason, now, out);
+    }
+    if (leader.step_ != ReplacementStep::None) {
+        state.sessions_->heartbeatNow_ = true;
+    }
+}
+
 void reviewPromoting(ProxyState &state, SessionGroup &group, Time now, Effects &out)
 {
     LeaderState &leader = *group.leader_;
@@ -414,16 +321,7 @@
     }
     switch (leader.step_) {
     case ReplacementStep::None:
-        // A previous leader's revocation that was never recorded in the store, or a VM that found the primary to have lost its log.
-        if (group.highestEpochHeard_ > leader.claim_.epoch_) {
-            revoke(state, group, "another VM knows a later epoch", false, now, out);
-        } else if (const std::optional<std::string_view> reason = reasonToReplace(state, group, now)) {
-            const MemberState *primary = findMember(state, leader.claim_.primary_);
-            revoke(state, group, *reason, primary != nullptr && isUnknownOrLeaving(primary), now, out);
-        }
-        if (leader.step_ != ReplacementStep::None) {
-            state.sessions_->heartbeatNow_ = true;
-        }
+        reviewSteady(state, group, now, out);
         return;
     case ReplacementStep::Revoking:
         reviewRevoking(state, group, now, out);
--- a/test/support/SessionWorld.h
+++ b/test/support/SessionWorld.h
@@ -40,7 +40,7 @@
     unsigned maxConnections_ = 34; ///< Connection limit in the configuration; members enforce it only if slots_ is not zero.
     unsigned slots_ = 0; ///< Connection attempts and statements that a member processes at once; others queue in order. Zero: unlimited.
     Duration openTime_ = std::chrono::milliseconds(12); ///< Time that a connection attempt takes at the member.
-    unsigned syncReplicas_ = 0;
+    unsigned syncReplicas_ = 0; ///< Replicas that must have received a commit before members acknowledge it.
     unsigned organisations_ = 0; ///< Number of organisations, named from "org-0" with the keys from "key-0"; zero: the configuration has none.
     OrganisationLimits limits_; ///< Limits of each organisation.
     std::uint64_t seed_ = 1;
@@ -310,6 +310,15 @@
     /** Returns the error with which a faulty member answers a statement, None if it runs it, or Timeout if it does not answer. */
     ReplyCode drawFailure(unsigned vm, unsigned member);
     void runAtMember(unsigned vm, std::uint64_t incarnation, const SendToMember &effect);
+    /** Delivers the answer of a member. The answer to a statement that \p committed an entry is held until enough replicas have received that entry. */
+    void answerFromMember(unsigned vm,
+                          std::uint64_t incarnation,
+                          unsigned member,
+                          const SendToMember &effect,
+                          const Standin::LineAnswer &answer,
+                          std::optional<LogPoint> committed);
+    /** Reports acknowledged commits that \p member, which has just been promoted, lacks in a group with synchronous replicas. */
+    void checkPromoted(unsigned member);
     void loseConnection(unsigned vm, ConnectionId connection);
     void callStore(unsigned vm, const StoreCall &call);
     /** Delivers the answer to \p call, sent at \p askedAt, after the transfer time, or an unknown result at its timeout if that is earlier. */
--- a/test/support/SessionWorldMembers.cpp
+++ b/test/support/SessionWorldMembers.cpp
@@ -141,15 +141,39 @@
     if (request.verb_ == MemberVerb::Forward) {
         lastRuns_[member] = now_;
     }
+    const Standin::LineMember &target = groupOf(member).member(memberId(member));
+    const LogPoint before = endOf(target);
     std::optional<Standin::LineAnswer> answer = groupOf(member).run(worldConnection(vm, effect.connection_), request, now_);
     if (!answer) {
         return;
     }
+    const std::optional<LogPoint> committed = target.primary_ && before != endOf(target) ? std::optional(endOf(target)) : std::nullopt;
     answer->reply_.code_ = failure == ReplyCode::None ? answer->reply_.code_ : failure;
     checkOrganisation(vm, effect, answer->reply_);
+    answerFromMember(vm, incarnation, member, effect, *answer, committed);
+}
+
+void SessionWorld::answerFromMember(unsigned vm,
+                                    std::uint64_t incarnation,
+                                    unsigned member,
+                                    const SendToMember &effect,
+                                    const Standin::LineAnswer &answer,
+                                    std::optional<LogPoint> committed)
+{
+    Standin::LineGroupModel &group = groupOf(member);
+    group.replicate(now_);
+    if (committed && group.replicasHolding(memberId(member), *committed) < config_.syncReplicas_) {
+        constexpr Duration retryInterval = std::chrono::milliseconds(1);
+        schedule(now_ + retryInterval, [this, vm, incarnation, member, effect, answer, committed] {
+            if (groupOf(member).member(memberId(member)).up_) {
+                answerFromMember(vm, incarnation, member, effect, answer, committed);
+            }
+        });
+        return;
+    }
     schedule(now_ + config_.networkDelay_, [this, vm, incarnation, member, effect, answer] {
         if (!vmMemberCuts_.contains({vm, member})) {
-            deliverEvent(vm, incarnation, SessionEvent(MemberReplyArrived{effect.connection_, answer->reply_, answer->report_}));
+            deliverEvent(vm, incarnation, SessionEvent(MemberReplyArrived{effect.connection_, answer.reply_, answer.report_}));
         }
     });
 }
@@ -302,8 +326,25 @@
         schedule(now_ + config_.promotionTime_, [this, effect, &group] {
             note(absl::StrCat(effect.member_.value(), " leads"));
             promotions_ += group.promote(effect.member_, now_) ? 1 : 0;
+            checkPromoted(numberOf(effect.member_));
         });
     }
 }
 
+void SessionWorld::checkPromoted(unsigned member)
+{
+    if (config_.syncReplicas_ == 0) {
+        return;
+    }
+    std::set<std::string> kept;
+    for (const Standin::LineCommit &commit : groupOf(member).member(memberId(member)).log_) {
+        kept.insert(commit.statements_.begin(), commit.statements_.end());
+    }
+    for (const Acknowledged &write : acknowledged_) {
+        if (write.group_ == member / config_.members_ && !kept.contains(write.id_)) {
+            reportViolation(absl::StrCat("write ", write.id_, " was acknowledged, and ", memberId(member).value(), ", which was promoted, lacks it"));
+        }
+    }
+}
+
 } // namespace Figward::Testing
