Do not take a successor that received less for one that lost its log

Callers waited for a second replacement right after the first, if the successor had received less than the lost primary: each VM that asked it before a write revoked it again (event 418).

Cause: while a primary was revoked and none named yet, heartbeats with samples of the old one were recorded as the progress of the new epoch. Change: they are recorded only once a primary of the epoch is known.

Evidence: SessionPrimaryIsLost.aSuccessorThatReceivedLessIsNotReplacedAgain failed before, with event 418 at three VMs.

--- a/src/GroupHeartbeats.cpp
+++ b/src/GroupHeartbeats.cpp
@@ -144,7 +144,9 @@
     if (echoed && sameTerm) {
         addSample(group->samples_, {heartbeat.echo_ - beat.sampleAge_, *beat.sample_});
     }
-    if (beat.sample_ && sameTerm && beat.epoch_ == group->authority_.epoch_) {
+    // As long as no primary is named in this epoch, samples are of the revoked one, and its successor may have received less.
+    const bool isOfThisPrimary = sameTerm && beat.epoch_ == group->authority_.epoch_ && group->authority_.primary_ != MemberId();
+    if (isOfThisPrimary) {
         recordProgress(group->progress_, beat.epoch_, *beat.sample_);
     }
 }
--- a/test/error/SessionPrimaryIsLost.cpp
+++ b/test/error/SessionPrimaryIsLost.cpp
@@ -157,3 +157,30 @@
     world.checkLogs();
     EXPECT_THAT(world.violations(), IsEmpty());
 }
+
+// Guards against a second replacement right after the first: the successor has received less than the lost primary, and is taken for one that lost its log.
+TEST(SessionPrimaryIsLost, aSuccessorThatReceivedLessIsNotReplacedAgain)
+{
+    SessionWorld world;
+    world.run(startTime);
+    const std::size_t client = world.open(0, "ledger");
+    const auto write = [&](int count) {
+        for (int round = 0; round < count; ++round) {
+            ASSERT_EQ(world.ask(client, StatementKind::Write, "WRITE a 1").code_, ReplyCode::None);
+        }
+    };
+    write(10);
+    world.run(std::chrono::milliseconds(100));
+    for (const unsigned replica : {1U, 2U}) {
+        world.group().member(SessionWorld::memberId(replica)).receivesNothing_ = true;
+    }
+    write(5);
+    for (unsigned vm = 0; vm < 4; ++vm) {
+        world.cutVmFromMember(vm, 0, true);
+    }
+    world.run(std::chrono::seconds(4)); // Probes reach the successor before any write does.
+    EXPECT_EQ(world.promotions(), 1U);
+    EXPECT_THAT(world.logged(LogNumber::PrimaryLostLog), IsEmpty()) << stepsOf(world);
+    EXPECT_LT(toMillis(writesStallFor(world, 0)), 100);
+    EXPECT_THAT(world.violations(), IsEmpty());
+}
