Do not promote a member whose log branched off before the term in use

Cause: the choice left out the primary that was lost last and compared positions only, which do not tell whether a log goes on from the one in use.

Change: the claim records the position with which the primary's term began, as the new primary reports it before any VM may use it. A member that has received more than that, and nothing of the term, is not promoted; if the position is unknown, none that does not follow the term. The latest term known to the VM counts beside the claim's, as the claim is written after the primary is put into use. If only such members are left for 30 s, one of them is promoted.

Cost: no wait and no call in other failovers; if only the former primary is left, writes wait for its successor for up to 30 s.

--- a/src/PrimaryReplacement.cpp
+++ b/src/PrimaryReplacement.cpp
@@ -201,32 +201,40 @@
     }
 }
 
-/** Ends the replacement: \p member is primary, and all VMs may use it from now on. */
-void finishReplacement(ProxyState &state, SessionGroup &group, const MemberId &member, Term term, std::string_view why, Time now, Effects &out)
+/** Ends the replacement: \p member reports that it is primary, and all VMs may use it from now on. */
+void finishReplacement(ProxyState &state, SessionGroup &group, const MemberState &member, std::string_view why, Time now, Effects &out)
 {
     LeaderState &leader = *group.leader_;
-    leader.claim_.primary_ = member;
-    leader.claim_.term_ = std::max(leader.claim_.term_, term);
-    leader.claim_.phase_ = ClaimPhase::Steady;
+    LeaderClaim &claim = leader.claim_;
+    claim.primary_ = member.entry_.id_;
+    if (claim.term_ < member.report_->term_) {
+        claim.term_ = member.report_->term_;
+        claim.termStart_ = termStartOf(*member.report_);
+    }
+    claim.phase_ = ClaimPhase::Steady;
     enterStep(leader, ReplacementStep::None, now);
     leader.leadSince_ = now;
     requestClaimWrite(leader);
-    renewAuthority(group.authority_, leader.claim_.epoch_, member, leader.claim_.term_, std::min(now, leader.validUntil_ - authorityDuration));
+    renewAuthority(group.authority_, claim.epoch_, claim.primary_, claim.term_, std::min(now, leader.validUntil_ - authorityDuration));
     state.sessions_->heartbeatNow_ = true;
     logStep(group, LogNumber::PrimaryInForce, why, now, out);
 }
 
-void promote(SessionGroup &group, const MemberId &target, Time now, Effects &out)
+void promote(SessionGroup &group, const MemberState &member, Time now, Effects &out)
 {
     LeaderState &leader = *group.leader_;
-    leader.target_ = target;
+    leader.target_ = member.entry_.id_;
     leader.promotionAccepted_.reset();
     leader.promotionUnanswered_.reset();
     leader.promotionIssued_ = true;
     enterStep(leader, ReplacementStep::Promoting, now);
     leader.promoteAfter_ = now + promotionCallTimeout + promotionRetryDelay;
-    logStep(group, LogNumber::PromotionCalled, "fullest of those that reported", now, out);
-    out.emplace_back(SessionEffect(CallPromotion{group.id_, target, leader.claim_.generation_, promotionCallTimeout}));
+    logStep(group,
+            LogNumber::PromotionCalled,
+            absl::StrCat("has received ", toString(member.report_->received_), " in term ", member.report_->term_.value()),
+            now,
+            out);
+    out.emplace_back(SessionEffect(CallPromotion{group.id_, member.entry_.id_, leader.claim_.generation_, promotionCallTimeout}));
 }
 
 void reviewSurvey(ProxyState &state, SessionGroup &group, Time now, Effects &out)
@@ -239,12 +247,12 @@
     }
     requestAllReports(state, group, now, out);
     if (const MemberState *current = findCurrentPrimary(state, group)) {
-        finishReplacement(state, group, current->entry_.id_, current->report_->term_, "leads already", now, out);
+        finishReplacement(state, group, *current, "leads already", now, out);
         return;
     }
     const MemberState *successor = now < leader.promoteAfter_ ? nullptr : chooseSuccessor(state, group, now);
     if (successor != nullptr) {
-        promote(group, successor->entry_.id_, now, out);
+        promote(group, *successor, now, out);
     }
 }
 
@@ -284,7 +292,7 @@
     // The call has no effect on a member that is already primary. This is certain once a change would have been observed.
     const bool unchanged = leader.promotionAccepted_ && target->reportAsOf_ > *leader.promotionAccepted_ + promotionSettleTime;
     if (reportsPrimary && (leader.claim_.term_ < target->report_->term_ || unchanged)) {
-        finishReplacement(state, group, target->entry_.id_, target->report_->term_, "promoted", now, out);
+        finishReplacement(state, group, *target, "promoted", now, out);
     }
 }
 
--- a/src/SessionConfiguration.h
+++ b/src/SessionConfiguration.h
@@ -101,6 +101,7 @@
     ClaimPhase phase_ = ClaimPhase::Replacing;
     MemberId primary_;
     Term term_; ///< Term of the primary.
+    std::optional<LogPoint> termStart_; ///< End of the log with which the primary's term began; absent if unknown.
 };
 
 } // namespace Figward
--- a/src/SuccessorChoice.cpp
+++ b/src/SuccessorChoice.cpp
@@ -28,6 +28,9 @@
 /** Interval between report requests to members that may succeed a leaving primary. */
 constexpr Duration successorReportInterval = std::chrono::milliseconds(200);
 
+/** If only members remain whose logs may have diverged, one of them is promoted after this time: a member that was merely lost for a while would have returned. */
+constexpr Duration divergedLogTimeout = std::chrono::seconds(30);
+
 /**
  * Whether \p member, the old primary, may be promoted again: it has stepped down, or it reports that it is still primary while it is unknown whether another
  * member was promoted, which promoting it again resolves.
@@ -70,13 +73,33 @@
     return old && report.received_ < *old;
 }
 
-/** The first of \p candidates that has received most of the log, of those that have reported; null if none has. */
-const MemberState *mostAdvanced(const LeaderState &leader, const std::vector<const MemberState *> &candidates)
+/** Latest term in which some VM may have used a primary. A claim that could not be written since then still holds an earlier one. */
+Term termInUse(const SessionGroup &group)
+{
+    return std::max({group.leader_->claim_.term_, group.authority_.term_, group.authority_.highestTerm_});
+}
+
+/** Whether the log of \p report may contain commits that were given up when the term in use began. */
+bool mayHaveDiverged(const SessionGroup &group, const ReplicationReport &report)
+{
+    const LeaderClaim &claim = group.leader_->claim_;
+    const Term term = termInUse(group);
+    if (claim.termStart_ && claim.term_ == term) {
+        return report.received_.term_ < term && *claim.termStart_ < report.received_;
+    }
+    return report.term_ < term;
+}
+
+/** The first of \p candidates that has received most of the log, of those that have reported and may be promoted; null if there is none. */
+const MemberState *mostAdvanced(const SessionGroup &group, const std::vector<const MemberState *> &candidates, Time now)
 {
+    const LeaderState &leader = *group.leader_;
+    const bool acceptsDiverged = now - leader.stepSince_ > divergedLogTimeout;
     const MemberState *best = nullptr;
     for (const MemberState *member : candidates) {
         const ReplicationReport *report = currentReport(leader, *member);
-        if (report != nullptr && (best == nullptr || best->report_->received_ < report->received_)) {
+        const bool eligible = report != nullptr && (acceptsDiverged || !mayHaveDiverged(group, *report));
+        if (eligible && (best == nullptr || best->report_->received_ < report->received_)) {
             best = member;
         }
     }
@@ -105,10 +128,10 @@
     const LeaderState &leader = *group.leader_;
     const bool synchronous = hasSynchronousReplicas(state, group.id_);
     std::vector<const MemberState *> candidates = findCandidates(state, group, false);
-    const MemberState *best = mostAdvanced(leader, candidates);
+    const MemberState *best = mostAdvanced(group, candidates, now);
     if (synchronous || best == nullptr || lacksOldPositions(group, *best->report_)) {
         addLeaving(state, group, synchronous, candidates);
-        best = mostAdvanced(leader, candidates);
+        best = mostAdvanced(group, candidates, now);
     }
     const bool mayLackCommits = synchronous || (best != nullptr && lacksOldPositions(group, *best->report_));
     const bool timedOut = now - leader.stepSince_ > (mayLackCommits ? longSurveyTime : surveyTime);
@@ -121,7 +144,7 @@
     const LeaderState &leader = *group.leader_;
     const MemberState *old = findMember(state, leader.claim_.primary_);
     const ReplicationReport *last = old == nullptr ? nullptr : currentReport(leader, *old);
-    const MemberState *staying = mostAdvanced(leader, findCandidates(state, group, false));
+    const MemberState *staying = mostAdvanced(group, findCandidates(state, group, false), now);
     const bool hasCaughtUp = last != nullptr && !last->primary_ && staying != nullptr && last->received_ <= staying->report_->received_;
     if (hasCaughtUp) {
         return staying;
@@ -142,6 +165,11 @@
     return member.report_ && leader.reportsRequestedAt_ && member.reportAsOf_ >= *leader.reportsRequestedAt_ ? &*member.report_ : nullptr;
 }
 
+std::optional<LogPoint> termStartOf(const ReplicationReport &report)
+{
+    return report.received_.term_ < report.term_ ? std::optional(report.received_) : std::nullopt;
+}
+
 bool hasCandidates(ProxyState &state, const SessionGroup &group)
 {
     return !findCandidates(state, group, false).empty() || !findCandidates(state, group, true).empty();
@@ -158,7 +186,7 @@
     return std::ranges::any_of(candidates, [&](const MemberState *member) {
         const bool reportedRecently = member->report_ && now - member->reportAsOf_ < successorLag;
         const std::optional<LogPoint> old = reportedRecently ? positionBefore(group.samples_, member->reportAsOf_ - successorLag) : std::nullopt;
-        return old && *old <= member->report_->received_;
+        return old && *old <= member->report_->received_ && !mayHaveDiverged(group, *member->report_);
     });
 }
 
--- a/src/SuccessorChoice.h
+++ b/src/SuccessorChoice.h
@@ -3,6 +3,9 @@
  *
  * The member that has received most of the log is promoted. A member that leaves would have to be replaced again soon, so it is promoted only if those that stay
  * may lack acknowledged commits. In groups with synchronous replicas any commit that some replica has received may have been acknowledged.
+ *
+ * A primary that was cut off and replaced, and its replicas, may hold commits that were given up when the next term began. Clients have been served without
+ * them since, so such a member is not promoted before it has followed a later primary and dropped them.
  */
 #pragma once
 
@@ -14,6 +17,8 @@
 
 /** Report of \p member from the current survey; null if there is none. */
 const ReplicationReport *currentReport(const LeaderState &leader, const MemberState &member);
+/** End of the log with which the term of the primary that sent \p report began; absent if commits of that term hide it. */
+std::optional<LogPoint> termStartOf(const ReplicationReport &report);
 /** Whether some member other than the primary could be promoted. */
 bool hasCandidates(ProxyState &state, const SessionGroup &group);
 /**
