Do not revoke a leaving primary for a member that cannot take over

Writes would have stopped for up to 30 s after a leaving primary had stepped down, if the only other member had a log that branched off, or did not answer.

--- a/src/SuccessorChoice.cpp
+++ b/src/SuccessorChoice.cpp
@@ -27,7 +27,6 @@
 constexpr Duration successorWait = std::chrono::seconds(3);
 /** Interval between report requests to members that may succeed a leaving primary. */
 constexpr Duration successorReportInterval = std::chrono::milliseconds(200);
-
 /** If only members remain whose logs may have diverged, one of them is promoted after this time: a member that was merely lost for a while would have returned. */
 constexpr Duration divergedLogTimeout = std::chrono::seconds(30);
 
@@ -111,6 +110,13 @@
     return std::ranges::all_of(candidates, [&](const MemberState *member) { return currentReport(leader, *member) != nullptr; });
 }
 
+/** Whether \p member, which has reported, has received what the primary had successorLag before. */
+bool keepsUp(const SessionGroup &group, const MemberState &member)
+{
+    const std::optional<LogPoint> old = positionBefore(group.samples_, member.reportAsOf_ - successorLag);
+    return old && *old <= member.report_->received_;
+}
+
 /** Adds the leaving members to \p candidates, after those that stay. */
 void addLeaving(ProxyState &state, const SessionGroup &group, bool synchronous, std::vector<const MemberState *> &candidates)
 {
@@ -153,9 +159,12 @@
         return nullptr;
     }
     const MemberState *successor = chooseAfterLoss(state, group, now);
-    const bool oldHoldsMore = last != nullptr && !last->primary_ && successor != nullptr && successor->report_->received_ < last->received_;
+    if (last == nullptr || last->primary_) {
+        return successor;
+    }
     // Commits of the old primary that no other member has received may have been acknowledged. It is replaced once another member keeps up with it.
-    return oldHoldsMore && hasSynchronousReplicas(state, group.id_) ? old : successor;
+    const bool losesCommits = successor != nullptr && hasSynchronousReplicas(state, group.id_) && successor->report_->received_ < last->received_;
+    return successor == nullptr || losesCommits ? old : successor;
 }
 
 } // namespace
@@ -180,13 +189,10 @@
     const std::vector<const MemberState *> candidates = findCandidates(state, group, false);
     const MemberState *primary = findMember(state, group.leader_->claim_.primary_);
     const bool mayWait = primary == nullptr || !primary->leavingSince_ || now - *primary->leavingSince_ < successorWait;
-    if (!mayWait && !hasSynchronousReplicas(state, group.id_)) {
-        return !candidates.empty();
-    }
+    const bool mustKeepUp = mayWait || hasSynchronousReplicas(state, group.id_);
     return std::ranges::any_of(candidates, [&](const MemberState *member) {
         const bool reportedRecently = member->report_ && now - member->reportAsOf_ < successorLag;
-        const std::optional<LogPoint> old = reportedRecently ? positionBefore(group.samples_, member->reportAsOf_ - successorLag) : std::nullopt;
-        return old && *old <= member->report_->received_ && !mayHaveDiverged(group, *member->report_);
+        return reportedRecently && !mayHaveDiverged(group, *member->report_) && (!mustKeepUp || keepsUp(group, *member));
     });
 }
 
--- a/src/SuccessorChoice.h
+++ b/src/SuccessorChoice.h
@@ -22,8 +22,8 @@
 /** Whether some member other than the primary could be promoted. */
 bool hasCandidates(ProxyState &state, const SessionGroup &group);
 /**
- * Whether a leaving primary may be replaced now: a member that stays keeps up with it. In groups without synchronous replicas it may also be replaced if none
- * does for some seconds, since the primary ends soon.
+ * Whether a leaving primary may be replaced now: a member that stays keeps up with it. In groups without synchronous replicas one that is behind suffices after
+ * some seconds, since the primary ends soon.
  */
 bool isSuccessorReady(ProxyState &state, const SessionGroup &group, Time now);
 /** Requests reports from the members that stay, from which isSuccessorReady() is determined. */
--- a/test/error/SessionFormerPrimaryReturns.cpp
+++ b/test/error/SessionFormerPrimaryReturns.cpp
@@ -16,11 +16,11 @@
 constexpr unsigned successor = 1;
 constexpr unsigned silentReplica = 2; ///< A replica that receives nothing; it lacks commits of all terms.
 
-/** A group whose primary was cut off with commits that no other member has received. Its successor was used, and has just crashed. */
-class CrashedSuccessor
+/** A group whose primary has commits that no other member has received, and is cut off and replaced. */
+class ReplacedPrimary
 {
 public:
-    CrashedSuccessor()
+    ReplacedPrimary()
         : client_(prepare())
     {
     }
@@ -33,8 +33,8 @@
         }
     }
 
-    /** Cuts all VMs off from the former primary, lets another member take over and take writes, and crashes it. */
-    void replaceAndCrash()
+    /** Cuts all VMs off from the primary, and lets another member take over and take writes. */
+    void replace()
     {
         cutFormer(true);
         const Time start = world_.now();
@@ -44,6 +44,11 @@
         world_.run(std::chrono::milliseconds(100));
         ASSERT_EQ(world_.group().leader().id_, SessionWorld::memberId(successor));
         write(5);
+    }
+
+    void replaceAndCrash()
+    {
+        replace();
         world_.crashMember(successor);
     }
 
@@ -93,7 +98,7 @@
 // Guards against the promotion of a replaced primary with its old log: commits that were given up return after reads without them.
 TEST(SessionFormerPrimaryReturns, andIsNotPromotedWithItsOldLog)
 {
-    CrashedSuccessor story;
+    ReplacedPrimary story;
     story.replaceAndCrash();
     story.cutFormer(false);
     story.world_.run(std::chrono::seconds(4));
@@ -107,7 +112,7 @@
 // Guards against the same by a leader that took over before the term of the successor was stored.
 TEST(SessionFormerPrimaryReturns, andIsNotPromotedByTheNextLeader)
 {
-    CrashedSuccessor story;
+    ReplacedPrimary story;
     const unsigned leader = *story.world_.leader();
     story.world_.setBeforeEvent([&](ProxyState &state, EventBody & /*event*/, Time) {
         const std::optional<LeaderState> &leads = state.sessions_->groups_.begin()->second.leader_;
@@ -131,7 +136,7 @@
 // Guards against a group without a primary for ever: the members that hold the later term are lost for good.
 TEST(SessionFormerPrimaryReturns, andIsPromotedOnceNoOtherMemberHasReturnedForLong)
 {
-    CrashedSuccessor story;
+    ReplacedPrimary story;
     story.replaceAndCrash();
     story.world_.crashMember(silentReplica);
     story.cutFormer(false);
@@ -145,7 +150,7 @@
 // Guards against needless waiting: the successor returns with its log, and all that it acknowledged is kept.
 TEST(SessionFormerPrimaryReturns, andTheSuccessorThatReturnsFirstIsUsedAgain)
 {
-    CrashedSuccessor story;
+    ReplacedPrimary story;
     story.replaceAndCrash();
     story.world_.crashMember(silentReplica);
     story.cutFormer(false);
@@ -157,3 +162,22 @@
     story.world_.checkLogs();
     EXPECT_THAT(story.world_.violations(), IsEmpty());
 }
+
+// Guards against an outage: a leaving primary must not be replaced while the former one is the only other member.
+TEST(SessionFormerPrimaryReturns, andDoesNotSucceedALeavingPrimary)
+{
+    ReplacedPrimary story;
+    story.replace();
+    story.world_.crashMember(silentReplica);
+    story.cutFormer(false);
+    story.world_.memberLeaves(successor);
+    for (int round = 0; round < 50; ++round) {
+        story.write(1);
+        story.world_.run(std::chrono::milliseconds(40));
+    }
+    story.world_.run(std::chrono::seconds(6));
+    EXPECT_EQ(story.world_.promotions(), 1U);
+    EXPECT_EQ(story.world_.group().leader().id_, SessionWorld::memberId(successor));
+    story.world_.checkLogs();
+    EXPECT_THAT(story.world_.violations(), IsEmpty());
+}
