--- /dev/null
+++ b/review/standin-2/cases.cpp
@@ -0,0 +1,497 @@
+// The cases of this review. Each plays a small deployment and returns 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
+#include "world.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <cstring>
+#include <iostream>
+
+using namespace Review;
+
+namespace {
+
+bool trouble()
+{
+    const char *value = std::getenv("TROUBLE");
+    return value == nullptr || std::string(value) != "0";
+}
+
+/// Three VMs in three zones before one service of three members.
+struct Deployment
+{
+    explicit Deployment(const std::string &folder, Group::Settings settings = {}, int graceS = 6)
+        : group_(store_, settings)
+        , cloud_(group_)
+    {
+        store_.put("config", "main", configuration(7, routes(), group_));
+        for (int index = 0; index < 3; ++index) {
+            doors_.push_back(&store_.addDoor());
+            vms_.push_back(std::make_unique<Vm>("front-" + std::to_string(index),
+                                                std::string("zone-") + static_cast<char>('a' + index),
+                                                doors_.back()->listener_->address(),
+                                                cloud_.address(),
+                                                folder,
+                                                graceS));
+        }
+        std::vector<std::string> seeds;
+        for (const auto &vm : vms_) {
+            seeds.push_back(vm->control());
+        }
+        for (const auto &vm : vms_) {
+            vm->setSeeds(seeds);
+        }
+    }
+
+    static std::vector<Route> routes()
+    {
+        return {{"bind", "primary", 1000, 0, 1, 200}, {"lookup", "bounded_staleness", 3000, 1500, 2, 800}, {"review", "read_your_writes", 1000, 2500, 2, 400}};
+    }
+
+    bool start()
+    {
+        for (const auto &vm : vms_) {
+            vm->start();
+        }
+        for (const auto &vm : vms_) {
+            if (!vm->awaitReady(15000)) {
+                std::cerr << "a VM does not get ready\n";
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /// Waits until a write succeeds at each VM.
+    bool awaitService()
+    {
+        for (std::size_t index = 0; index < vms_.size(); ++index) {
+            bool served = false;
+            for (int attempt = 0; attempt < 100 && !served; ++attempt) {
+                Client client;
+                const std::string id = "w" + std::to_string(index) + "n" + std::to_string(attempt);
+                served = client.open(vms_[index]->front(), "bind") && client.query(id, "WRITE warm 1", 3000).result_.starts_with("COMPLETE");
+                if (!served) {
+                    sleepMs(100);
+                }
+            }
+            if (!served) {
+                std::cerr << "no write is served\n";
+                return false;
+            }
+        }
+        return true;
+    }
+
+    Store store_;
+    Group group_;
+    Cloud cloud_;
+    std::vector<Store::Door *> doors_;
+    std::vector<std::unique_ptr<Vm>> vms_;
+};
+
+// A VM is stopped with SIGTERM while clients use their sessions without a pause.
+int drain(const std::string &folder)
+{
+    Group::Settings settings;
+    settings.workMs_ = 55;
+    Deployment &site = *new Deployment(folder, settings); // Its threads run until the process ends.
+    if (!site.start() || !site.awaitService()) {
+        return 2;
+    }
+    struct Cut
+    {
+        std::string id_;
+        double sentMs_ = 0;
+        double closedMs_ = 0;
+    };
+    std::mutex mutex;
+    std::vector<Cut> cuts;
+    int answered = 0;
+    int refused = 0;
+    std::atomic<bool> stop{false};
+    std::vector<std::thread> clients;
+    Vm &vm = *site.vms_[0];
+    for (int number = 0; number < 6; ++number) {
+        clients.emplace_back([&, number] {
+            Client client;
+            if (!client.open(vm.front(), "lookup")) {
+                return;
+            }
+            for (int sequence = 0; !stop; ++sequence) {
+                const std::string id = "c" + std::to_string(number) + "n" + std::to_string(sequence);
+                const double sent = nowMs();
+                record("client %d sends %s READ item", number, id.c_str());
+                if (!client.send("QUERY " + id + " READ item\r\n")) {
+                    return; // The session was closed before.
+                }
+                const Answer answer = client.read(10000);
+                if (!answer.complete_) {
+                    const std::scoped_lock lock(mutex);
+                    record("client %d: the connection ends without an answer to %s", number, id.c_str());
+                    cuts.push_back({id, sent, nowMs()});
+                    return;
+                }
+                record("client %d gets %s for %s", number, answer.result_.c_str(), id.c_str());
+                {
+                    const std::scoped_lock lock(mutex);
+                    ++(answer.result_.starts_with("COMPLETE") ? answered : refused);
+                }
+                sleepMs(10);
+            }
+        });
+    }
+    sleepMs(1500);
+    const double terminated = nowMs();
+    if (trouble()) {
+        vm.signal(SIGTERM);
+    }
+    const double grace = 6000;
+    while (nowMs() < terminated + grace && (vm.runs() || !trouble())) {
+        sleepMs(10);
+    }
+    if (trouble() && vm.runs()) {
+        record("process %s is still there after grace_s and is killed", vm.name().c_str());
+        vm.signal(SIGKILL);
+    }
+    sleepMs(500);
+    stop = true;
+    for (std::thread &client : clients) {
+        client.join();
+    }
+    if (answered < 50) {
+        std::cerr << "the clients were hardly served\n";
+        return 2;
+    }
+    const std::vector<Run> runs = site.group_.runs();
+    int lost = 0;
+    for (const Cut &cut : cuts) {
+        const auto run = std::find_if(runs.begin(), runs.end(), [&](const Run &other) { return other.id_ == cut.id_ && other.startMs_ < cut.closedMs_; });
+        const bool passedOn = run != runs.end();
+        const bool late = cut.sentMs_ > terminated + 3000;
+        const bool inTime = cut.closedMs_ - cut.sentMs_ < 3000;
+        if (passedOn && late && inTime) {
+            ++lost;
+            record("LOST: %s was sent %.0f ms after SIGTERM, reached %s, and its connection ended %.0f ms later without an answer",
+                   cut.id_.c_str(),
+                   cut.sentMs_ - terminated,
+                   run->member_.c_str(),
+                   cut.closedMs_ - cut.sentMs_);
+        }
+    }
+    record("answered %d, refused %d, cut %zu, of these lost by the rule %d", answered, refused, cuts.size(), lost);
+    std::cout << "answered " << answered << ", refused " << refused << ", cut " << cuts.size() << ", LOST " << lost << "\n";
+    return lost > 0 ? 1 : 0;
+}
+
+/// Clients that write in turn at all VMs until they are told to stop.
+class Writers
+{
+public:
+    struct Write
+    {
+        std::string id_;
+        double sentMs_ = 0;
+        double answeredMs_ = 0;
+        std::string result_;
+    };
+    Writers(Deployment &site, int perVm, double pauseMs)
+    {
+        for (std::size_t vm = 0; vm < site.vms_.size(); ++vm) {
+            for (int number = 0; number < perVm; ++number) {
+                threads_.emplace_back([this, &site, vm, number, pauseMs] { run(*site.vms_[vm], vm, number, pauseMs); });
+            }
+        }
+    }
+    std::vector<Write> finish()
+    {
+        stop_ = true;
+        for (std::thread &thread : threads_) {
+            thread.join();
+        }
+        return writes_;
+    }
+
+private:
+    void run(Vm &vm, std::size_t index, int number, double pauseMs)
+    {
+        for (int sequence = 0; !stop_;) {
+            Client client;
+            if (!client.open(vm.front(), "bind")) {
+                sleepMs(50);
+                continue;
+            }
+            for (bool open = true; open && !stop_; ++sequence) {
+                const std::string id = "v" + std::to_string(index) + "c" + std::to_string(number) + "n" + std::to_string(sequence);
+                Write write{id, nowMs(), 0, ""};
+                const Answer answer = client.query(id, "WRITE item" + std::to_string(number) + " " + id, 5000);
+                write.answeredMs_ = nowMs();
+                write.result_ = answer.complete_ ? answer.result_ : "no answer";
+                open = answer.complete_;
+                record("client %s -> %s", id.c_str(), write.result_.c_str());
+                {
+                    const std::scoped_lock lock(mutex_);
+                    writes_.push_back(write);
+                }
+                sleepMs(pauseMs);
+            }
+        }
+    }
+    std::atomic<bool> stop_{false};
+    std::mutex mutex_;
+    std::vector<Write> writes_;
+    std::vector<std::thread> threads_;
+};
+
+/// Counts acknowledged writes that were committed at a primary after a promotion had taken effect, and those that the log lacks in the end.
+int judgeWrites(Deployment &site, const std::vector<Writers::Write> &writes)
+{
+    std::map<std::string, Run> commits;
+    for (const Run &run : site.group_.runs()) {
+        if (run.commits_) {
+            commits[run.id_] = run;
+        }
+    }
+    std::map<std::string, int> kept;
+    for (const Commit &commit : site.group_.finalLog()) {
+        ++kept[commit.id_];
+    }
+    int acknowledged = 0;
+    int stale = 0;
+    int gone = 0;
+    for (const Writers::Write &write : writes) {
+        if (!write.result_.starts_with("COMPLETE")) {
+            continue;
+        }
+        ++acknowledged;
+        const Run &run = commits[write.id_];
+        const bool isGone = !kept.contains(write.id_);
+        gone += isGone ? 1 : 0;
+        if (run.replaced_) {
+            ++stale;
+            record("ONE: %s was acknowledged at %.1f, committed at %s in term %llu at %.1f after a later term had begun; %s",
+                   write.id_.c_str(),
+                   write.answeredMs_,
+                   run.member_.c_str(),
+                   static_cast<unsigned long long>(run.term_),
+                   run.endMs_,
+                   isGone ? "it is lost" : "it is kept");
+        }
+    }
+    record("acknowledged %d, at a replaced primary %d, acknowledged and not in the final log %d", acknowledged, stale, gone);
+    std::cout << "acknowledged " << acknowledged << ", at a replaced primary " << stale << ", not in the final log " << gone << "\n";
+    if (acknowledged < 50) {
+        return 2;
+    }
+    return stale > 0 ? 1 : 0;
+}
+
+// The primary crashes and is back after a moment, while the platform is slow to carry out promotions.
+int slowPromotion(const std::string &folder, double delayMs, double downMs)
+{
+    Group::Settings settings;
+    settings.workMs_ = 11;
+    Deployment &site = *new Deployment(folder, settings); // Its threads run until the process ends.
+    if (!site.start() || !site.awaitService()) {
+        return 2;
+    }
+    Writers writers(site, 3, 15);
+    sleepMs(3000);
+    if (trouble()) {
+        site.cloud_.delayMs_ = delayMs;
+        site.group_.crash(0);
+        sleepMs(downMs);
+        site.group_.restart(0);
+    }
+    sleepMs(12000);
+    return judgeWrites(site, writers.finish());
+}
+
+// The primary's process starts again under its id and holds nothing of before.
+int rebirth(const std::string &folder, double downMs)
+{
+    Group::Settings settings;
+    settings.workMs_ = 11;
+    Deployment &site = *new Deployment(folder, settings); // Its threads run until the process ends.
+    if (!site.start() || !site.awaitService()) {
+        return 2;
+    }
+    Client writer;
+    if (!writer.open(site.vms_[0]->front(), "bind") || !writer.query("known", "WRITE item value-1").result_.starts_with("COMPLETE")) {
+        return 2;
+    }
+    record("client: the write of value-1 is acknowledged");
+    sleepMs(500);
+    struct Read
+    {
+        std::string id_;
+        double sentMs_ = 0;
+        Answer answer_;
+    };
+    std::mutex mutex;
+    std::vector<Read> reads;
+    std::atomic<bool> stop{false};
+    std::vector<std::thread> clients;
+    for (std::size_t vm = 0; vm < site.vms_.size(); ++vm) {
+        clients.emplace_back([&, vm] {
+            for (int sequence = 0; !stop; ++sequence) {
+                Client client;
+                if (!client.open(site.vms_[vm]->front(), "bind")) {
+                    sleepMs(50);
+                    continue;
+                }
+                for (bool open = true; open && !stop; ++sequence) {
+                    const std::string id = "r" + std::to_string(vm) + "n" + std::to_string(sequence);
+                    Read read{id, nowMs(), client.query(id, "READ item", 5000)};
+                    open = read.answer_.complete_;
+                    record("client %s -> %s %s", id.c_str(), read.answer_.result_.c_str(), read.answer_.rows_.empty() ? "" : read.answer_.rows_.front().c_str());
+                    {
+                        const std::scoped_lock lock(mutex);
+                        reads.push_back(std::move(read));
+                    }
+                    sleepMs(20);
+                }
+            }
+        });
+    }
+    sleepMs(2000);
+    if (trouble()) {
+        site.group_.restartEmpty(0, downMs);
+    }
+    sleepMs(8000);
+    stop = true;
+    for (std::thread &client : clients) {
+        client.join();
+    }
+    std::map<std::string, Run> runs;
+    for (const Run &run : site.group_.runs()) {
+        runs[run.id_] = run;
+    }
+    int served = 0;
+    int stale = 0;
+    for (const Read &read : reads) {
+        if (!read.answer_.result_.starts_with("COMPLETE")) {
+            continue;
+        }
+        ++served;
+        if (read.answer_.rows_ != std::vector<std::string>{"value-1"}) {
+            ++stale;
+            record("STALE: %s was sent at %.1f, ran at %s, whose log lacks the commit, and its client got %s",
+                   read.id_.c_str(),
+                   read.sentMs_,
+                   runs[read.id_].member_.c_str(),
+                   read.answer_.rows_.empty() ? "no row" : read.answer_.rows_.front().c_str());
+        }
+    }
+    record("reads served %d, of these stale %d", served, stale);
+    std::cout << "reads served " << served << ", stale " << stale << "\n";
+    return served < 50 ? 2 : stale > 0 ? 1 : 0;
+}
+
+// A client sets one session value after the other, each of them within the limit of a message.
+int values(const std::string &folder)
+{
+    constexpr double memoryMb = 260;
+    Deployment &site = *new Deployment(folder); // Its threads run until the process ends.
+    if (!site.start() || !site.awaitService()) {
+        return 2;
+    }
+    Vm &vm = *site.vms_[0];
+    Client other;
+    if (!other.open(vm.front(), "bind") || !other.query("o1", "WRITE a 1").result_.starts_with("COMPLETE")) {
+        return 2;
+    }
+    const double before = vm.residentMb();
+    Client client;
+    if (!client.open(vm.front(), "review")) {
+        return 2;
+    }
+    const int count = trouble() ? 400 : 10;
+    const std::string value(trouble() ? 1000000 : 100, 'x');
+    bool killed = false;
+    for (int number = 0; number < count && !killed; ++number) {
+        const Answer answer = client.query("s" + std::to_string(number), "SET v" + std::to_string(number) + " " + value, 5000);
+        record("client: SET v%d of %zu bytes -> %s, the process holds %.0f MB", number, value.size(), answer.complete_ ? answer.result_.c_str() : "no answer", vm.residentMb());
+        if (!answer.complete_ || !answer.result_.starts_with("COMPLETE")) {
+            break;
+        }
+        if (vm.residentMb() > memoryMb) {
+            record("process %s holds %.0f MB, over memory_mb %.0f: the platform kills it", vm.name().c_str(), vm.residentMb(), memoryMb);
+            vm.signal(SIGKILL);
+            killed = true;
+        }
+    }
+    const double after = vm.residentMb();
+    sleepMs(300);
+    const bool ended = !vm.runs();
+    const Answer last = other.query("o2", "READ a", 3000);
+    record("before %.0f MB, after %.0f MB, ended %d, the other client: %s", before, after, ended, last.complete_ ? last.result_.c_str() : "its connection is gone");
+    std::cout << "before " << before << " MB, ended " << ended << ", other client " << (last.complete_ ? last.result_ : "cut") << "\n";
+    return ended ? 1 : 0;
+}
+
+// A VM starts while the store does not answer; a client sends its first statement together with START.
+int early(const std::string &folder)
+{
+    Deployment &site = *new Deployment(folder); // Its threads run until the process ends.
+    Vm &vm = *site.vms_[0];
+    if (trouble()) {
+        site.doors_[0]->fault_ = Store::Fault::Silent;
+    }
+    vm.setSeeds({});
+    vm.start();
+    sleepMs(1500);
+    int ended = 0;
+    for (int number = 0; number < 20; ++number) {
+        Client client;
+        if (!client.connectOnly(vm.front())) {
+            break;
+        }
+        client.send("START bind u1\r\nQUERY q" + std::to_string(number) + " READ a\r\n");
+        std::string got;
+        while (const std::optional<std::string> line = client.line(1500)) {
+            got += *line + " | ";
+        }
+        record("client %d gets %s", number, got.c_str());
+        if (!vm.runs()) {
+            ended = 1;
+            break;
+        }
+    }
+    std::cout << "ended " << ended << " " << vm.ending() << "\n";
+    return ended;
+}
+
+} // namespace
+
+int main(int count, char **arguments)
+{
+    if (count < 4) {
+        std::cerr << "CASE RECORD FOLDER\n";
+        return 2;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    openRecord(arguments[2]);
+    const std::string name = arguments[1];
+    const std::string folder = arguments[3];
+    int result = 2;
+    if (name == "drain") {
+        result = drain(folder);
+    }
+    if (name == "promotion") {
+        const auto option = [](const char *variable, double otherwise) { return std::getenv(variable) ? std::atof(std::getenv(variable)) : otherwise; };
+        result = slowPromotion(folder, option("DELAY_MS", 1500), option("DOWN_MS", 600));
+    }
+    if (name == "rebirth") {
+        result = rebirth(folder, std::getenv("DOWN_MS") ? std::atof(std::getenv("DOWN_MS")) : 100);
+    }
+    if (name == "values") {
+        result = values(folder);
+    }
+    if (name == "early") {
+        result = early(folder);
+    }
+    endProcesses();
+    record("result %d", result);
+    std::cout.flush();
+    std::_Exit(result);
+}
