--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -387,6 +387,65 @@
     return served < 50 ? 2 : stale > 0 ? 1 : 0;
 }
 
+// An entry of another writer, with bytes that can't be read, stands among those of the members; then all processes are killed and start again.
+int foreignEntry(const std::string &folder)
+{
+    Deployment &site = *new Deployment(folder); // Its threads run until the process ends.
+    if (!site.start() || !site.awaitService()) {
+        return 2;
+    }
+    const auto ask = [&](const char *phase) {
+        constexpr int rounds = 8;
+        int served = 0;
+        int asked = 0;
+        for (int round = 0; round < rounds; ++round) {
+            for (const auto &vm : site.vms_) {
+                Client client;
+                ++asked;
+                const std::string id = std::string(phase) + "-" + vm->name() + "-" + std::to_string(round);
+                const std::string text = round % 2 == 0 ? "WRITE item x" : "READ item";
+                const Answer answer = client.open(vm->front(), "bind", 2000) ? client.query(id, text, 2000) : Answer();
+                served += answer.result_.starts_with("COMPLETE") ? 1 : 0;
+                record("client %s -> %s", id.c_str(), answer.complete_ ? answer.result_.c_str() : "no session or no answer");
+            }
+        }
+        record("%s: asked %d, served %d", phase, asked, served);
+        return std::pair(asked, served);
+    };
+    if (const char *bytes = std::getenv("UNREADABLE")) {
+        site.store_.unreadable_ = bytes;
+    }
+    const auto [askedBefore, servedBefore] = ask("before");
+    if (trouble()) {
+        site.store_.put("servers",
+                        "j-other",
+                        json::object{{"service", "led@unreadable@ger"}, {"address", "127.0.0.1:9"}, {"zone", "zone-a"}, {"state", "ready"}, {"db_role", "replica"}, {"seq", 1}});
+        record("another writer's entry j-other stands among the members, with bytes that are no text");
+    }
+    sleepMs(5000);
+    const auto [askedMeanwhile, servedMeanwhile] = ask("meanwhile");
+    for (const auto &vm : site.vms_) {
+        vm->signal(SIGKILL);
+    }
+    sleepMs(600);
+    for (const auto &vm : site.vms_) {
+        vm->runs();
+        vm->start();
+    }
+    constexpr double recoveryMs = 15000;
+    sleepMs(recoveryMs + 1000);
+    for (const auto &vm : site.vms_) {
+        record("process %s is %s", vm->name().c_str(), vm->ready() ? "ready" : "not ready");
+    }
+    const auto [asked, served] = ask("after");
+    std::cout << "served before " << servedBefore << "/" << askedBefore << ", meanwhile " << servedMeanwhile << "/" << askedMeanwhile << ", after recovery_s " << served << "/"
+              << asked << "\n";
+    if (servedBefore * 4 < askedBefore) {
+        return 2;
+    }
+    return served * 4 < asked ? 1 : 0;
+}
+
 // A client sets one session value after the other, each of them within the limit of a message.
 int values(const std::string &folder)
 {
@@ -484,6 +543,9 @@
     if (name == "rebirth") {
         result = rebirth(folder, std::getenv("DOWN_MS") ? std::atof(std::getenv("DOWN_MS")) : 100);
     }
+    if (name == "entry") {
+        result = foreignEntry(folder);
+    }
     if (name == "values") {
         result = values(folder);
     }
--- a/review/standin-2/world.cpp
+++ b/review/standin-2/world.cpp
@@ -381,7 +381,11 @@
             continue;
         }
         sleepMs(2);
-        const auto [status, body] = answer(call->method_, call->target_, call->body_);
+        auto [status, body] = answer(call->method_, call->target_, call->body_);
+        const std::string marker = "@unreadable@";
+        for (std::size_t at = body.find(marker); at != std::string::npos; at = body.find(marker, at)) {
+            body.replace(at, marker.size(), unreadable_);
+        }
         if (call->method_ != "GET") {
             record("store %s %s -> %d", call->method_.c_str(), call->target_.c_str(), status);
         }
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -100,6 +100,8 @@
     void put(const std::string &kind, const std::string &name, json::value spec);
     void remove(const std::string &kind, const std::string &name);
     std::optional<json::value> get(const std::string &kind, const std::string &name);
+    /// What the store returns in place of "@unreadable@" in an object: by default two bytes that are not UTF-8.
+    std::string unreadable_ = "\xff\xfe";
 
 private:
     struct Object
