--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -446,6 +446,30 @@
     return served * 4 < asked ? 1 : 0;
 }
 
+// Sessions that stay open have each sent one long statement.
+int buffers(const std::string &folder)
+{
+    Deployment &site = *new Deployment(folder); // Its threads run until the process ends.
+    if (!site.start() || !site.awaitService()) {
+        return 2;
+    }
+    Vm &vm = *site.vms_[0];
+    std::vector<std::unique_ptr<Client>> clients;
+    const std::string value(trouble() ? 1000000 : 1000, 'x');
+    for (int number = 0; number < 100; ++number) {
+        clients.push_back(std::make_unique<Client>());
+        if (!clients.back()->open(vm.front(), "bind")) {
+            break;
+        }
+        const Answer answer = clients.back()->query("w" + std::to_string(number), "WRITE item " + value, 5000);
+        record("session %d: %s, the process holds %.0f MB", number, answer.result_.c_str(), vm.residentMb());
+    }
+    sleepMs(2000);
+    record("at rest the process holds %.0f MB", vm.residentMb());
+    std::cout << vm.residentMb() << " MB\n";
+    return vm.residentMb() > 260 ? 1 : 0;
+}
+
 // A client sets one session value after the other, each of them within the limit of a message.
 int values(const std::string &folder)
 {
@@ -546,6 +570,9 @@
     if (name == "entry") {
         result = foreignEntry(folder);
     }
+    if (name == "buffers") {
+        result = buffers(folder);
+    }
     if (name == "values") {
         result = values(folder);
     }
