--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -84,6 +84,20 @@
 };
 bool sendAll(int fd, const std::string &text);
 
+/// Which availability zones are cut off from all others, and from the platform's store.
+class Cuts
+{
+public:
+    void set(std::set<std::string> zones);
+    bool between(const std::string &zone, const std::string &other) const;
+    bool concerns(const std::string &zone) const;
+
+private:
+    mutable std::mutex mutex_;
+    std::set<std::string> zones_;
+};
+Cuts &cuts();
+
 /// The platform's metadata store. Each VM has a door of its own, so that a fault can concern some VMs only.
 class Store
 {
@@ -93,10 +107,11 @@
     {
         std::unique_ptr<Listener> listener_;
         std::atomic<Fault> fault_{Fault::None};
+        std::string zone_; ///< Zone of the VM that comes through it.
     };
     Store();
     ~Store();
-    Door &addDoor();
+    Door &addDoor(const std::string &zone = {});
     void put(const std::string &kind, const std::string &name, json::value spec);
     void remove(const std::string &kind, const std::string &name);
     std::optional<json::value> get(const std::string &kind, const std::string &name);
@@ -182,6 +197,8 @@
     /// Its process starts again under the same id and holds nothing of before.
     void restartEmpty(int index, double downMs);
     std::vector<Commit> finalLog();
+    std::vector<Commit> logOf(int index);
+    int indexOf(const std::string &id) const;
     void setState(int index, const std::string &state);
     const Settings &settings() const
     {
@@ -207,6 +224,7 @@
         std::string state_ = "ready";
         bool empty_ = false; ///< It started again and has received nothing since.
         std::int64_t born_ = 0;
+        double reachesLeaderSince_ = -1;
         std::uint64_t seq_ = 0;
     };
     void serve(Member &member, int fd);
@@ -214,6 +232,10 @@
     std::pair<std::uint64_t, std::uint64_t> position(const Member &member, bool received) const;
     void writeEntry(Member &member);
     void follow(Member &member);
+    void followLeader();
+    void replicate(const Member &primary);
+    bool contains(const Member &member, const std::pair<std::uint64_t, std::uint64_t> &point) const;
+    bool held(const std::string &zone, const Member &member, int fd) const;
     std::string positionText(const Member &member, bool received) const;
 
     Store &store_;
@@ -237,6 +259,8 @@
     std::string address() const;
     /// Time that the platform takes for a call before it has an effect.
     std::atomic<double> delayMs_{4};
+    /// Called when a call has been received.
+    std::function<void()> onCall_;
 
 private:
     void serve(int fd);
@@ -264,6 +288,16 @@
     /// Ends the process at once.
     void end();
     void setSeeds(const std::vector<std::string> &seeds);
+    /// Puts a relay before the VM's address for other VMs, which drops what a cut zone may not pass.
+    void useRelay();
+    const std::string &zone() const
+    {
+        return zone_;
+    }
+    const std::string &ip() const
+    {
+        return ip_;
+    }
     void start();
     void signal(int number);
     /// Whether the process still runs; takes note of its end.
@@ -289,6 +323,7 @@
     void writeSettings();
     std::string name_, zone_, store_, cloud_, folder_;
     std::string ip_; ///< A loopback address of its own.
+    std::string relay_; ///< Address of the relay; empty without one.
     int grace_;
     std::vector<std::string> seeds_;
     int pid_ = -1;
