A stop logs what is still in progress, and why it was taken

What operators of a stopped VM saw: 102 "no request was in flight", whether that was so or not, with a number of sessions only. The record of the incident could therefore not tell a statement that was passed on late from a long one or from a second signal.

705 names each statement that is in progress as the process exits: where it waits or runs and at which member, since when, how long after the drain started it had arrived, and why it was taken (before the drain, a new operation, part of an open transaction). 102 counts them, and states how long the drain took. 105 logs each signal that asks the process to end, with a count. Gauges: figward_drain_seconds, figward_statements_at_members, figward_statements_forwarded.

No logic is changed.

--- a/src/CommandServe.cpp
+++ b/src/CommandServe.cpp
@@ -6,6 +6,7 @@
 #include "SettingsReload.h"
 #include "Signals.h"
 
+#include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <csignal>
 #include <fstream>
@@ -76,7 +77,11 @@
         std::cerr << "figward: " << status.message() << '\n';
         exitWith(ExitCode::Failure);
     }
-    signals.start([&proxy, count = 0]() mutable { ++count == 1 ? proxy.drain() : std::_Exit(static_cast<int>(ExitCode::Failure)); });
+    signals.start([&proxy, &log, count = 0]() mutable {
+        log.write(LogNumber::SignalReceived, {{"count", absl::StrCat(++count)}});
+        log.flush(flushTimeout);
+        count == 1 ? proxy.drain() : std::_Exit(static_cast<int>(ExitCode::Failure));
+    });
     proxy.awaitExit();
     log.flush(flushTimeout);
     // All requests have been answered, and the kernel sends the remaining output. An orderly destruction of threads and libraries would only delay the
--- a/src/SessionDrain.cpp
+++ b/src/SessionDrain.cpp
@@ -5,6 +5,7 @@
 #include "ReadForwarding.h"
 #include "SessionLookup.h"
 #include "SessionStatements.h"
+#include "StatementLog.h"
 #include "StatementOutcome.h"
 
 #include <absl/strings/str_cat.h>
@@ -79,6 +80,25 @@
     }
 }
 
+/** Logs every statement that is in progress; returns their number. */
+std::size_t logUnfinishedStatements(ProxyState &state, Time now, Effects &out)
+{
+    std::size_t unfinished = 0;
+    const auto log = [&](const ClientSession &session) {
+        if (session.run_) {
+            ++unfinished;
+            logUnfinished(state, session, now, out);
+        }
+    };
+    for (const auto &[key, session] : state.sessions_->sessions_) {
+        log(session);
+    }
+    for (const auto &[key, read] : state.sessions_->forwarding_.received_) {
+        log(read.session_);
+    }
+    return unfinished;
+}
+
 } // namespace
 
 void startSessionDrain(ProxyState &state, Time now, Effects &out)
@@ -114,7 +134,11 @@
     const bool isIdle = sessions.sessions_.empty() && !runsForwardedReads(sessions);
     if (isIdle || since > sessions.identity_.drainTime_ - endMargin) {
         sessions.exiting_ = true;
-        out.emplace_back(WriteLog{LogNumber::ProcessStopped, {{"sessions", absl::StrCat(sessions.sessions_.size())}}});
+        const std::size_t unfinished = logUnfinishedStatements(state, now, out);
+        out.emplace_back(WriteLog{LogNumber::ProcessStopped,
+                                  {{"sessions", absl::StrCat(sessions.sessions_.size())},
+                                   {"unanswered", absl::StrCat(unfinished)},
+                                   {"after_drain_ms", absl::StrCat(toMillis(since))}}});
         out.emplace_back(ExitProcess{});
     }
 }
--- a/src/SessionMetrics.cpp
+++ b/src/SessionMetrics.cpp
@@ -83,6 +83,9 @@
     , retries_(counter(registry, "figward_statement_retries_total", "Further tries of statements"))
     , sessions_(gauge(registry, "figward_sessions", "Sessions that are open"))
     , waiting_(gauge(registry, "figward_statements_waiting", "Statements that wait for a connection"))
+    , atMembers_(gauge(registry, "figward_statements_at_members", "Statements that a member runs for this VM"))
+    , forwarded_(gauge(registry, "figward_statements_forwarded", "Reads that another VM runs for this one"))
+    , draining_(gauge(registry, "figward_drain_seconds", "Since the process was asked to end; zero: it was not"))
     , configurationVersion_(gauge(registry, "figward_session_configuration_version", "Version of the configuration in force"))
     , configurationAge_(gauge(registry, "figward_configuration_age_seconds", "Since the configuration was last known to be the latest"))
     , configurationBehind_(
@@ -168,6 +171,10 @@
         waiting += countWaiting(group.waiting_);
     }
     waiting_.Set(static_cast<double>(waiting));
+    atMembers_.Set(static_cast<double>(std::ranges::count_if(
+        state.connections_, [](const auto &entry) { return entry.second.use_ == MemberConnectionUse::Statement && entry.second.pending_; })));
+    forwarded_.Set(static_cast<double>(state.forwarding_.sent_.size()));
+    draining_.Set(state.drainSince_ ? seconds(now - *state.drainSince_) : 0);
     ready_.Set(state.ready_.value_or(false) ? 1 : 0);
     observeMembers(state);
     observeAges(state, now);
--- a/src/SessionMetrics.h
+++ b/src/SessionMetrics.h
@@ -55,6 +55,9 @@
     prometheus::Counter &retries_;
     prometheus::Gauge &sessions_;
     prometheus::Gauge &waiting_;
+    prometheus::Gauge &atMembers_;
+    prometheus::Gauge &forwarded_;
+    prometheus::Gauge &draining_;
     prometheus::Gauge &configurationVersion_;
     prometheus::Gauge &configurationAge_;
     prometheus::Gauge &configurationBehind_;
--- a/src/StatementLog.cpp
+++ b/src/StatementLog.cpp
@@ -66,6 +66,27 @@
     return line;
 }
 
+/** Where a statement in progress is. */
+std::string stageOf(const StatementRun &run)
+{
+    if (run.forward_) {
+        return "forwarded";
+    }
+    if (run.sent_) {
+        return "at-member";
+    }
+    return run.connection_ ? "preparing" : "waiting";
+}
+
+/** Why the drain let the current statement of \p session through. */
+std::string reasonTaken(const ClientSession &session, Duration afterDrain)
+{
+    if (afterDrain < Duration(0)) {
+        return "arrived before the drain";
+    }
+    return session.state_ == TransactionState::None ? "a new operation during the drain" : "part of an open transaction";
+}
+
 LogNumber numberOf(const StatementRun &run, ReplyCode code, Time now)
 {
     if (code == ReplyCode::None) {
@@ -101,4 +122,14 @@
     out.emplace_back(makeLogLine(state, session, *session.run_, LogNumber::StatementRetried, "retried", reason, now));
 }
 
+void logUnfinished(ProxyState &state, const ClientSession &session, Time now, Effects &out)
+{
+    const StatementRun &run = *session.run_;
+    const Duration afterDrain = run.arrived_ - state.sessions_->drainSince_.value_or(run.arrived_);
+    WriteLog line = makeLogLine(state, session, run, LogNumber::DrainUnfinished, stageOf(run), reasonTaken(session, afterDrain), now);
+    line.fields_.push_back({"after_drain_ms", absl::StrCat(toMillis(afterDrain))});
+    line.fields_.push_back({"queued", absl::StrCat(session.queued_.size())});
+    out.emplace_back(std::move(line));
+}
+
 } // namespace Figward
--- a/src/StatementLog.h
+++ b/src/StatementLog.h
@@ -14,5 +14,7 @@
 void logOutcome(ProxyState &state, const ClientSession &session, const StatementRun &run, const SessionReply &reply, Time now, Effects &out);
 /** Logs that the current statement is retried at another member or later, and why. */
 void logRetry(ProxyState &state, const ClientSession &session, const std::string &reason, Time now, Effects &out);
+/** Logs that the process exits while the current statement is in progress, and why the drain had let it through. */
+void logUnfinished(ProxyState &state, const ClientSession &session, Time now, Effects &out);
 
 } // namespace Figward
