--- a/test/support/SessionWorld.cpp
+++ b/test/support/SessionWorld.cpp
@@ -177,6 +177,22 @@
     }
 }
 
+void SessionWorld::closeFromVm(WorldClient &client)
+{
+    cutOff_.insert(cutOff_.end(), client.unanswered_.begin(), client.unanswered_.end());
+    client.closed_ = true;
+}
+
+void SessionWorld::exitVm(unsigned vm)
+{
+    for (WorldClient &client : clients_) {
+        if (client.vm_ == vm && !client.closed_) {
+            closeFromVm(client);
+        }
+    }
+    killVm(vm);
+}
+
 void SessionWorld::freezeVm(unsigned vm, bool frozen)
 {
     vms_[vm].frozen_ = frozen;
@@ -242,7 +258,7 @@
             log_.emplace_back(body.number_, text);
             logText_ += logLine(now_, vms_[vm].name_, body);
         },
-        [&](const ExitProcess &) { killVm(vm); },
+        [&](const ExitProcess &) { exitVm(vm); },
         [&](const SessionEffect &body) { perform(vm, body); },
         [](const auto &) {}, // Effects of figward's own protocol.
     };
@@ -266,7 +282,7 @@
         [&](const AnswerSession &body) { recordAnswer(vm, body); },
         [&](const CloseSession &body) {
             if (WorldClient *client = findClient(vm, body.session_)) {
-                client->closed_ = true;
+                closeFromVm(*client);
             }
         },
         [&](const SendToMember &body) { sendToMember(vm, body); },
@@ -415,6 +431,11 @@
     return violations_;
 }
 
+const std::vector<std::string> &SessionWorld::cutOff() const
+{
+    return cutOff_;
+}
+
 std::vector<std::string> SessionWorld::story() const
 {
     return story_;
--- a/test/support/SessionWorld.h
+++ b/test/support/SessionWorld.h
@@ -197,6 +197,8 @@
     [[nodiscard]] std::optional<unsigned> leader(unsigned group = 0) const;
     [[nodiscard]] unsigned promotions() const;
     [[nodiscard]] const std::vector<std::string> &violations() const;
+    /** Ids of the statements that were unanswered when their VM closed their session or exited by itself. */
+    [[nodiscard]] const std::vector<std::string> &cutOff() const;
     /** Returns the statements that arrived at the member since the start. */
     [[nodiscard]] StatementTries tries(unsigned member) const;
     /** Time at which the member last ran a client's statement that was the first of its operation. */
@@ -342,6 +344,9 @@
     void recordAcknowledgedWrite(WorldClient &client, const ClientAnswer &answer);
     void checkRead(const WorldClient &client, const ClientAnswer &answer);
     void reportViolation(const std::string &what);
+    /** Closes the client's connection on behalf of its VM. */
+    void closeFromVm(WorldClient &client);
+    void exitVm(unsigned vm);
     WorldClient *findClient(unsigned vm, SessionKey key);
     ConnectionId worldConnection(unsigned vm, ConnectionId connection) const;
 
@@ -391,6 +396,7 @@
     std::map<std::pair<ServiceId, std::uint64_t>, std::string> promoters_; ///< VM that called for a promotion, keyed by group and generation.
     unsigned promotions_ = 0;
     std::vector<std::string> violations_;
+    std::vector<std::string> cutOff_;
     std::vector<std::pair<LogNumber, std::string>> log_;
     std::map<unsigned, Time> lastRuns_;
     std::map<std::string, OrganisationId> requestingOrganisations_; ///< Keyed by statement id; only statements of clients that gave a key.
