A long queue of statements that are refused at once does not end the process

What callers saw: not seen by a user; found while looking for ways in which a stop cuts statements. A client that sends many statements ahead, at a VM that drains, ended the process, and so cut those of all other clients.

Cause: an answer calls for the session's next statement. Where that one is refused at once, the call nests, once for each statement of the queue, until the stack is used up. Load shedding has the same path (refuseIfShed). Class: recursion whose depth a client chooses.

Change: the queue is taken out while its statements are handled, so that the nested call finds none. The loop goes on instead.

Evidence: SessionStopsUnderLoad.aLongQueueDoesNotEndTheProcess (100,000 statements) ended with a segmentation fault before, and passes now.

--- a/src/SessionStatements.cpp
+++ b/src/SessionStatements.cpp
@@ -15,6 +15,8 @@
 #include "StatementOutcome.h"
 #include "StatementSteps.h"
 
+#include <utility>
+
 namespace Figward {
 
 namespace {
@@ -236,11 +238,14 @@
 void takeNextStatement(ProxyState &state, ClientSession &session, Time now, Effects &out)
 {
     session.lastActive_ = now;
-    while (!session.run_ && !session.queued_.empty()) {
-        const ClientStatement statement = std::move(session.queued_.front());
-        session.queued_.pop_front();
+    // A statement that is answered at once calls this function again. It then finds no queue: otherwise, a long one would be handled by as many nested calls.
+    std::deque<ClientStatement> queued = std::exchange(session.queued_, {});
+    while (!session.run_ && !queued.empty()) {
+        const ClientStatement statement = std::move(queued.front());
+        queued.pop_front();
         handleStatement(state, session, statement, now, out);
     }
+    session.queued_ = std::move(queued);
 }
 
 bool isSessionIdle(const ClientSession &session)
--- a/test/error/SessionStopsUnderLoad.cpp
+++ b/test/error/SessionStopsUnderLoad.cpp
@@ -252,3 +252,19 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, SessionsOfStoppingVms, Range<std::uint64_t>(1, 13));
+
+// Guards against a process that ends by itself, since refusing one statement of a long queue refused the next one from within.
+TEST(SessionStopsUnderLoad, aLongQueueDoesNotEndTheProcess)
+{
+    constexpr unsigned queued = 100'000;
+    SessionWorld world;
+    world.run(startTime);
+    const std::size_t client = world.open(0, "dispatch");
+    for (unsigned number = 0; number < queued; ++number) {
+        world.send(client, StatementKind::Read, "READ a");
+    }
+    world.drainVm(0);
+    world.run(drainTime);
+    EXPECT_THAT(world.client(client).answers_, SizeIs(queued));
+    EXPECT_THAT(world.cutOff(), IsEmpty());
+}
