A second SIGTERM does not cut the statements in progress

What callers saw: connections closed at once without an answer, as a VM got SIGTERM twice. Supervisors that signal a process and its group send two.

Cause: the second SIGTERM or SIGINT ended the process at once. Class: a signal that is not idempotent.

Change: a further SIGTERM changes nothing, since the drain ends by itself within its time and the platform has SIGKILL.

--- a/src/CommandServe.cpp
+++ b/src/CommandServe.cpp
@@ -18,6 +18,8 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds flushTimeout(100); // An active log reader takes less than 1 ms.
+
 std::optional<TlsMaterial> readTls(const std::optional<TlsFiles> &files)
 {
     if (!files) {
@@ -67,20 +69,47 @@
     return options;
 }
 
-/** Runs \p proxy and then ends the process. The first signal starts a graceful shutdown; the second ends the process at once. */
+/** Counts the signals that ask a process to end. */
+class EndSignals
+{
+public:
+    explicit EndSignals(LogWriter &log)
+        : log_(log)
+    {
+    }
+
+    /** Returns whether \p number is the first of these signals. A second SIGINT, by which somebody at a terminal insists, ends the process at once. */
+    bool isFirst(int number)
+    {
+        log_.write(LogNumber::SignalReceived, {{"signal", absl::StrCat(number)}, {"count", absl::StrCat(++count_)}});
+        // A supervisor may signal the process and its group, so that each SIGTERM arrives twice: it must not cut the statements in progress.
+        if (number == SIGINT && ++interrupts_ > 1) {
+            log_.flush(flushTimeout);
+            std::_Exit(static_cast<int>(ExitCode::Failure));
+        }
+        return count_ == 1;
+    }
+
+private:
+    LogWriter &log_;
+    unsigned count_ = 0;
+    unsigned interrupts_ = 0;
+};
+
+/** Runs \p proxy and then ends the process. SIGTERM and SIGINT start a graceful shutdown. */
 template<typename Proxy>
 [[noreturn]] void runUntilExit(Proxy &proxy, LogWriter &log)
 {
-    constexpr std::chrono::milliseconds flushTimeout(100); // An active log reader takes less than 1 ms.
+    EndSignals endSignals(log);
     Signals signals;
     if (const absl::Status status = proxy.start(); !status.ok()) {
         std::cerr << "figward: " << status.message() << '\n';
         exitWith(ExitCode::Failure);
     }
-    signals.start([&proxy, &log, count = 0]() mutable {
-        log.write(LogNumber::SignalReceived, {{"count", absl::StrCat(++count)}});
-        log.flush(flushTimeout);
-        count == 1 ? proxy.drain() : std::_Exit(static_cast<int>(ExitCode::Failure));
+    signals.start([&](int number) {
+        if (endSignals.isFirst(number)) {
+            proxy.drain();
+        }
     });
     proxy.awaitExit();
     log.flush(flushTimeout);
@@ -98,7 +127,7 @@
         , settings_(std::move(settings))
         , log_(std::move(log))
     {
-        hangupSignals_.start([this] { reloadFromFile(); });
+        hangupSignals_.start([this](int /*number*/) { reloadFromFile(); });
     }
 
 private:
@@ -143,7 +172,7 @@
 void addServeCommand(CLI::App &app)
 {
     CLI::App *command =
-        app.add_subcommand("serve", "Run one proxy until it is told to end; a first SIGTERM or SIGINT lets it finish its work, a second ends it");
+        app.add_subcommand("serve", "Run one proxy until it is told to end; SIGTERM or SIGINT lets it finish its work, a second SIGINT ends it");
     const auto file = std::make_shared<std::string>();
     command->add_option("--settings", *file, "Settings of this process, JSON with comments")->required()->type_name("FILE");
     command->callback([file] { serve(*file); });
--- a/src/Signals.cpp
+++ b/src/Signals.cpp
@@ -20,7 +20,7 @@
     }
 }
 
-void Signals::start(std::function<void()> handler)
+void Signals::start(Handler handler)
 {
     handler_ = std::move(handler);
     waitForNext();
@@ -31,7 +31,7 @@
 {
     std::promise<void> received;
     bool first = true;
-    start([&] {
+    start([&](int /*number*/) {
         if (first) {
             first = false;
             received.set_value();
@@ -44,9 +44,9 @@
 
 void Signals::waitForNext()
 {
-    set_.async_wait([this](const boost::system::error_code &error, int) {
+    set_.async_wait([this](const boost::system::error_code &error, int number) {
         if (!error) {
-            handler_();
+            handler_(number);
             waitForNext();
         }
     });
--- a/src/Signals.h
+++ b/src/Signals.h
@@ -20,8 +20,9 @@
     Signals(const Signals &) = delete;
     Signals &operator=(const Signals &) = delete;
     ~Signals();
+    using Handler = std::function<void(int number)>;
     /** Calls \p handler for each signal, including one received before this call. */
-    void start(std::function<void()> handler);
+    void start(Handler handler);
     /** Blocks until a signal is received. Use instead of start(). */
     void wait();
 
@@ -30,7 +31,7 @@
 
     boost::asio::io_context context_{1};
     boost::asio::signal_set set_;
-    std::function<void()> handler_;
+    Handler handler_;
     std::thread thread_;
 };
 
