--- a/test/support/ServeProcess.cpp
+++ b/test/support/ServeProcess.cpp
@@ -1,9 +1,6 @@
 #include "support/ServeProcess.h"
 
-#include <absl/strings/str_cat.h>
 #include <array>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <cstdlib>
@@ -116,12 +113,4 @@
     return {std::istreambuf_iterator<char>(in), {}};
 }
 
-std::string freeLoopbackAddress()
-{
-    boost::asio::io_context context;
-    const boost::asio::ip::tcp::endpoint any(boost::asio::ip::make_address("127.0.0.1"), 0);
-    const boost::asio::ip::tcp::acceptor acceptor(context, any);
-    return absl::StrCat("127.0.0.1:", acceptor.local_endpoint().port());
-}
-
 } // namespace Figward::Testing
--- a/test/support/ServeProcess.h
+++ b/test/support/ServeProcess.h
@@ -47,7 +47,4 @@
     pid_t process_ = 0; ///< Zero: none runs.
 };
 
-/** Returns an address on loopback with a free port. Another process may take the port before it is used. */
-std::string freeLoopbackAddress();
-
 } // namespace Figward::Testing
