--- a/test/error/EntriesOfOthersAreUnreadable.cpp
+++ b/test/error/EntriesOfOthersAreUnreadable.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 #include <boost/asio/io_context.hpp>
+#include <boost/json/parse.hpp>
 #include <gmock/gmock.h>
 
 using namespace Figward;
@@ -211,3 +212,28 @@
     const std::map<std::string, std::string> pages{{"", page({member("i-a"), member("i b&c\xc3\xa9")}, true)}, {"i%20b%26c%C3%A9", page({member("i-d")})}};
     EXPECT_THAT(membersIn(readMembers(pages)), ElementsAre("i-a", "i b&c\xc3\xa9", "i-d"));
 }
+
+// Guards against a claim of another writer whose count can't be counted up: the next generation would be lower than all before.
+TEST(EntriesOfOthersAreUnreadable, ifTheirCountsAreTooLarge)
+{
+    const auto claim = [](const std::string &generation) {
+        const std::optional<StoreObject> object =
+            readObject(absl::StrCat(R"({"meta":{"name":"s","revision":7},"spec":{"leader":"vm-1","incarnation":5,"generation":)",
+                                    generation,
+                                    R"(,"renewals":1,"epoch":1,"phase":"steady","primary_member":"i-a","primary_term":1}})"));
+        return object ? readClaim(*object) : std::nullopt;
+    };
+    EXPECT_TRUE(claim("7").has_value());
+    EXPECT_FALSE(claim("18446744073709551615").has_value());
+    EXPECT_FALSE(claim("99999999999999999999999").has_value());
+    EXPECT_FALSE(claim("-1").has_value());
+}
+
+// Guards against a time that is negative because the number does not fit.
+TEST(EntriesOfOthersAreUnreadable, orTheirTimesAreLimited)
+{
+    const absl::StatusOr<SessionConfiguration> configuration = readConfiguration(boost::json::parse(
+        R"({"version":7,"routes":[{"name":"r","host":"db","type":"primary","timeout_ms":18446744073709551615,"service":"s"}],"services":[]})"));
+    ASSERT_TRUE(configuration.ok());
+    EXPECT_GT(configuration->databases_.at("db").statementTimeout_, Duration(std::chrono::hours(24)));
+}
