--- a/test/soak/VmsStopUnderLoad.cpp
+++ b/test/soak/VmsStopUnderLoad.cpp
@@ -270,7 +270,7 @@
         std::this_thread::sleep_until(signalled + unlistedDelay);
         rotation.listed_.at(vm) = false;
         const auto grace = std::chrono::duration_cast<milliseconds>(signalled + process.options().drainTime_ - Clock::now());
-        EXPECT_EQ(process.awaitEnd(grace), 0) << process.options().name_ << " has not ended by itself";
+        EXPECT_EQ(process.awaitEnd(grace), 0) << process.options().name_ << " has not ended by itself:\n" << process.log().substr(0, 500);
         process.signal(SIGKILL);
         platform.setStatementDuration(milliseconds(4));
         process.start();
